--- a/apps/kumquatvalved/main.cc
+++ b/apps/kumquatvalved/main.cc
@@ -14,6 +14,7 @@
 #include <string>
 #include <utility>
 
+#include "kumquatvalve/platform/node.h"
 #include "kumquatvalve/process/announce_server.h"
 #include "kumquatvalve/process/control_agent.h"
 #include "kumquatvalve/process/entry_process.h"
@@ -28,6 +29,8 @@
 
 ABSL_FLAG(std::string, role, "", "entry or sidecar");
 ABSL_FLAG(std::string, settings, "", "YAML settings file");
+ABSL_FLAG(std::string, control, "fleet",
+          "fleet: relays and forwarding tables; store: the platform's store");
 ABSL_FLAG(std::string, static_tables, "",
           "JSON file with tables and members, read again when it changes; for "
           "tests and for a process without an object API");
@@ -471,6 +474,16 @@
 
 int Main() {
   const std::string path = absl::GetFlag(FLAGS_settings);
+  const std::string control = absl::GetFlag(FLAGS_control);
+  if (control == "store") {
+    return platform::RunNode(path);
+  }
+  if (control != "fleet") {
+    const Failure failure = {request::ResultCode::kBadUsage,
+                             "--control=" + control + " is unknown"};
+    std::cerr << ToString(failure) << "\n";
+    return request::ExitStatus(failure.code);
+  }
   std::vector<version::SettingsError> errors;
   auto settings = version::LoadProcessSettings(path, &errors);
   if (!settings) {
--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -1,7 +1,13 @@
 # Flags shared by all targets of the workspace.
 add_library(kumquatvalve_flags INTERFACE)
-target_compile_options(kumquatvalve_flags INTERFACE -Wall -Wextra -Werror
+# Warnings are errors only where the checks of this repository build: another
+# compiler or build type may warn of other things.
+option(KUMQUATVALVE_WERROR "Treat warnings as errors" OFF)
+target_compile_options(kumquatvalve_flags INTERFACE -Wall -Wextra
                                                     -Wno-missing-field-initializers)
+if(KUMQUATVALVE_WERROR)
+  target_compile_options(kumquatvalve_flags INTERFACE -Werror)
+endif()
 if(KUMQUATVALVE_SANITIZE)
   target_compile_options(kumquatvalve_flags INTERFACE
     -fsanitize=${KUMQUATVALVE_SANITIZE} -fno-sanitize-recover=all
@@ -22,7 +28,7 @@
   target_link_libraries(${library} PUBLIC ${ARG_DEPENDS}
                         PRIVATE kumquatvalve_flags)
   file(GLOB tests CONFIGURE_DEPENDS test/*.cc)
-  if(tests)
+  if(tests AND KUMQUATVALVE_TESTS)
     add_executable(${library}_test ${tests})
     target_link_libraries(${library}_test PRIVATE ${library} Catch2::Catch2
                           kumquatvalve_flags ${ARG_TEST_DEPENDS})
--- /dev/null
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -0,0 +1,658 @@
+#ifndef KUMQUATVALVE_CONNECTION_ENTRY_ROUTER_H_
+#define KUMQUATVALVE_CONNECTION_ENTRY_ROUTER_H_
+
+#include <absl/container/flat_hash_map.h>
+
+#include <algorithm>
+#include <chrono>
+#include <concepts>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "kumquatvalve/connection/admission_policy.h"
+#include "kumquatvalve/connection/placement.h"
+#include "kumquatvalve/connection/upstream_view.h"
+#include "kumquatvalve/request/flow_key.h"
+#include "kumquatvalve/request/hop_message.h"
+#include "kumquatvalve/request/packet.h"
+#include "kumquatvalve/version/route_map.h"
+
+namespace kumquatvalve::connection {
+
+/// Why an entry instance decided as it did about a flow; for logs and counters.
+enum class EntryVerdict : uint8_t {
+  /// A new flow was sent to an upstream.
+  kPlaced,
+  /// A new flow was sent to another upstream after the first did not take it.
+  kPlacedAgain,
+  /// No route has the address.
+  kNoRoute,
+  /// The route has no upstream that may take a flow.
+  kNoUpstream,
+  /// Every upstream's expected wait is too long.
+  kOverloaded,
+  /// Every upstream that was tried returned the flow.
+  kNotTaken,
+  /// The holder of a flow that this instance did not know was found.
+  kLocated,
+  /// No sidecar holds the flow, or none answered in time.
+  kNotLocated,
+  /// The route of an open flow was removed.
+  kRouteRemoved,
+};
+
+inline constexpr size_t kEntryVerdicts = 9;
+
+constexpr std::string_view Name(EntryVerdict verdict) {
+  constexpr std::array<std::string_view, kEntryVerdicts> kNames = {
+      "placed",    "placed_again", "no_route",    "no_upstream",  "overloaded",
+      "not_taken", "located",      "not_located", "route_removed"};
+  return kNames[static_cast<size_t>(verdict)];
+}
+
+/// A decision about a flow with the inputs that led to it.
+struct EntryDecision {
+  EntryVerdict verdict = EntryVerdict::kPlaced;
+  request::FlowKey flow;
+  /// Null when no route has the address.
+  const version::Route* route = nullptr;
+  /// The chosen sidecar, if any.
+  std::optional<request::Endpoint> sidecar;
+  /// Age of the load report that the choice rests on.
+  std::chrono::milliseconds report_age{0};
+  std::chrono::microseconds expected_wait{0};
+  uint64_t route_revision = 0;
+  request::ReturnReason reason = request::ReturnReason::kNone;
+};
+
+/// What an entry router lets happen.
+template <typename S>
+concept EntrySink = requires(S sink, const request::Endpoint& to,
+                             const request::HopMessage& message,
+                             std::span<const std::byte> packet,
+                             const request::ParsedPacket& parsed,
+                             const EntryDecision& decision) {
+  // Sends a message, followed by a packet or nothing, to a sidecar.
+  sink.Send(to, message, packet);
+  // Resets the flow of a caller's packet.
+  sink.Reset(parsed);
+  // Reads a packet again that was kept as bytes.
+  { sink.Parse(packet) } -> std::same_as<std::optional<request::ParsedPacket>>;
+  sink.Decided(decision);
+};
+
+struct EntryRouterConfig {
+  request::AvailabilityZone zone;
+  /// Flows remembered at most; beyond it the holder of a flow is asked for.
+  size_t max_flows = 100000;
+  uint64_t seed = 1;
+};
+
+/// The decisions of an entry instance about callers' packets: a function of
+/// packets, messages of sidecars, routes, upstream records and a passed-in
+/// clock (docs/platform.md). Calls come from one thread.
+template <EntrySink S>
+class EntryRouter {
+ public:
+  /// `sink` must outlive the router.
+  EntryRouter(EntryRouterConfig config, S* sink)
+      : config_(std::move(config)), random_(config_.seed), sink_(sink) {}
+
+  EntryRouter(const EntryRouter&) = delete;
+  EntryRouter& operator=(const EntryRouter&) = delete;
+
+  /// Puts a version of the desired state in force; an older one is ignored.
+  /// @return whether it is in force now.
+  bool OnRoutes(std::shared_ptr<const version::RouteMap> routes) {
+    if (routes_ != nullptr && routes->revision < routes_->revision) {
+      return false;
+    }
+    if (routes_ != nullptr) {
+      RememberServices(*routes_);
+    }
+    routes_ = std::move(routes);
+    return true;
+  }
+
+  /// Replaces the upstream records.
+  void OnUpstreams(std::span<const version::UpstreamRecord> records,
+                   TimePoint now) {
+    std::map<request::Endpoint, UpstreamView> next;
+    for (const version::UpstreamRecord& it : records) {
+      const auto old = upstreams_.find(it.sidecar);
+      UpstreamView view = old != upstreams_.end() && old->second.Same(it)
+                              ? old->second
+                              : UpstreamView(it, now);
+      view.OnRecord(it, it.zone == config_.zone);
+      next.emplace(it.sidecar, std::move(view));
+    }
+    upstreams_ = std::move(next);
+  }
+
+  /// A packet that came from the routers.
+  void OnCallerPacket(const request::ParsedPacket& packet, TimePoint now) {
+    if (routes_ == nullptr) {
+      return;
+    }
+    const version::Route* route = routes_->Find(packet.flow.service);
+    if (route == nullptr) {
+      OnUnrouted(packet);
+      return;
+    }
+    const auto it = flows_.find(packet.flow);
+    if (packet.IsFirst()) {
+      it == flows_.end() || it->second.caller_isn != packet.sequence
+          ? OnNewFlow(packet, *route, now)
+          : OnFirstPacketCopy(&it->second, packet, *route, now);
+      return;
+    }
+    if (it == flows_.end() || it->second.Ambiguous()) {
+      Locate(packet, *route, now);
+      return;
+    }
+    Flow& flow = it->second;
+    flow.last_packet = now;
+    if (!flow.open) {
+      flow.open = true;
+      flow.first_packet.clear();
+    }
+    flow.ended = flow.ended || packet.fin || packet.rst;
+    Forward(flow.holder, packet.bytes, /*probe=*/false, now);
+  }
+
+  /// A datagram of a sidecar.
+  void OnHopMessage(const request::Endpoint& from,
+                    const request::HopMessage& message,
+                    std::span<const std::byte> packet, TimePoint now) {
+    const auto it = upstreams_.find(from);
+    UpstreamView* view = it == upstreams_.end() ? nullptr : &it->second;
+    if (view != nullptr) {
+      view->OnHeard(now);
+    }
+    switch (message.kind) {
+      case request::HopKind::kLoad:
+        if (view != nullptr) {
+          view->OnLoad(message, now);
+        }
+        return;
+      case request::HopKind::kHeld:
+        OnHeld(from, message.flow, now);
+        return;
+      case request::HopKind::kNotHeld:
+        OnNotHeld(from, message.flow, now);
+        return;
+      case request::HopKind::kUnsure:
+        OnUnsure(from, message.flow, now);
+        return;
+      case request::HopKind::kReturned:
+        OnReturned(from, message.reason, packet, now);
+        return;
+      case request::HopKind::kPacket:
+      case request::HopKind::kLocate:
+      case request::HopKind::kHello:
+        return;
+    }
+  }
+
+  /// To be called every `kTick`.
+  void OnTick(TimePoint now) {
+    GreetUpstreams(now);
+    ExpireSearches(now);
+    if (now >= next_sweep_) {
+      next_sweep_ = now + kSweepPeriod;
+      ExpireFlows(now);
+    }
+  }
+
+  /// Longest time between two calls of `OnTick`.
+  static constexpr std::chrono::milliseconds kTick{50};
+
+  size_t flows() const { return flows_.size(); }
+  const version::RouteMap* routes() const { return routes_.get(); }
+  const std::map<request::Endpoint, UpstreamView>& upstreams() const {
+    return upstreams_;
+  }
+
+ private:
+  using Milliseconds = std::chrono::milliseconds;
+
+  // How long sidecars may take to answer a search; a caller retransmits after
+  // 200 ms and starts another one.
+  static constexpr Milliseconds kSearchTimeout{150};
+  // Packets kept while the holder of their flow is searched.
+  static constexpr size_t kMaxKeptPackets = 8;
+  static constexpr size_t kMaxSearches = 4096;
+  // A flow is offered to at most this many upstreams: an offer takes about
+  // 1 ms, and one that none of four takes meets an overload.
+  static constexpr size_t kMaxOffers = 4;
+  // Ended flows stay known for the retransmissions of their last packets.
+  static constexpr Milliseconds kEndedLife{4000};
+  // A caller sends no copies of its first packet after 1.4 s.
+  static constexpr Milliseconds kOpeningLife{2000};
+  static constexpr Milliseconds kSweepPeriod{1000};
+  // Idle upstreams are asked for a report this often.
+  static constexpr Milliseconds kHelloPeriod{1000};
+
+  // Cost of placing a flow in another zone, as latency. A short exchange
+  // carries about 3 kB between zones, a bulk one 40 kB.
+  static constexpr std::chrono::microseconds kShortZoneCost{12000};
+  static constexpr std::chrono::microseconds kBulkZoneCost{150000};
+
+  struct Flow {
+    request::Endpoint holder;
+    uint32_t caller_isn = 0;
+    /// The caller answered an upstream's SYN-ACK.
+    bool open = false;
+    bool ended = false;
+    TimePoint last_packet;
+    TimePoint placed_at;
+    /// Sidecars that the first packet was offered to.
+    std::vector<request::Endpoint> offered;
+    size_t returned = 0;
+    /// Two upstreams may have answered the first packet.
+    bool twice = false;
+
+    std::vector<std::byte> first_packet;
+
+    bool Ambiguous() const { return twice && !open; }
+  };
+
+  // A search for the holder of a flow among the sidecars of its service.
+  struct Search {
+    TimePoint since;
+    std::vector<std::vector<std::byte>> packets;
+    size_t asked = 0;
+    size_t denied = 0;
+    std::vector<request::Endpoint> unsure;
+    bool probed = false;
+    std::string route;
+  };
+
+  request::ServiceTag TagOf(const request::Endpoint& sidecar) const {
+    const auto it = upstreams_.find(sidecar);
+    return it == upstreams_.end() ? request::ServiceTag() : it->second.tag();
+  }
+
+  // Services that an address led to in earlier versions may still hold flows.
+  void RememberServices(const version::RouteMap& routes) {
+    for (const auto& [address, route] : routes.routes) {
+      std::vector<request::ServiceTag>& known = earlier_services_[address];
+      for (const version::RouteShare& it : route.shares) {
+        if (std::find(known.begin(), known.end(), it.tag) == known.end()) {
+          known.push_back(it.tag);
+        }
+      }
+    }
+  }
+
+  void Report(EntryVerdict verdict, const request::FlowKey& flow,
+              const version::Route* route,
+              request::ReturnReason reason = request::ReturnReason::kNone) {
+    EntryDecision decision;
+    decision.verdict = verdict;
+    decision.flow = flow;
+    decision.route = route;
+    decision.reason = reason;
+    decision.route_revision = routes_->revision;
+    sink_->Decided(decision);
+  }
+
+  void OnUnrouted(const request::ParsedPacket& packet) {
+    if (packet.rst) {
+      return;
+    }
+    const bool known = flows_.erase(packet.flow) != 0;
+    sink_->Reset(packet);
+    Report(known ? EntryVerdict::kRouteRemoved : EntryVerdict::kNoRoute,
+           packet.flow, nullptr);
+  }
+
+  void OnNewFlow(const request::ParsedPacket& packet,
+                 const version::Route& route, TimePoint now) {
+    if (flows_.size() >= config_.max_flows) {
+      ExpireFlows(now);
+    }
+    Flow flow;
+    flow.caller_isn = packet.sequence;
+    flow.placed_at = now;
+    flow.last_packet = now;
+    flow.first_packet.assign(packet.bytes.begin(), packet.bytes.end());
+    Offer(flow, packet, route, EntryVerdict::kPlaced, now);
+  }
+
+  // Sends a first packet to the best upstream that it was not offered to yet.
+  void Offer(Flow flow, const request::ParsedPacket& packet,
+             const version::Route& route, EntryVerdict verdict, TimePoint now) {
+    EntryDecision decision;
+    UpstreamView* view = Choose(route, flow.offered, &decision, now);
+    if (view == nullptr) {
+      Refuse(flow, packet, decision.verdict, route);
+      return;
+    }
+    flow.holder = view->sidecar();
+    flow.offered.push_back(flow.holder);
+    view->OnPlaced(now);
+    decision.verdict = verdict;
+    decision.flow = packet.flow;
+    decision.route = &route;
+    decision.sidecar = flow.holder;
+    decision.report_age = view->ReportAge(now);
+    decision.route_revision = routes_->revision;
+    const request::Endpoint holder = flow.holder;
+    flows_.insert_or_assign(packet.flow, std::move(flow));
+    Forward(holder, packet.bytes, /*probe=*/false, now);
+    sink_->Decided(decision);
+  }
+
+  // A reset is true only when no upstream can have taken the flow.
+  void Refuse(const Flow& flow, const request::ParsedPacket& packet,
+              EntryVerdict verdict, const version::Route& route) {
+    const bool nothing_open = flow.offered.size() == flow.returned;
+    if (nothing_open) {
+      flows_.erase(packet.flow);
+      sink_->Reset(packet);
+    }
+    Report(verdict, packet.flow, &route);
+  }
+
+  const version::RouteShare* PickShare(const version::Route& route) {
+    uint64_t total = 0;
+    for (const version::RouteShare& it : route.shares) {
+      total += it.weight;
+    }
+    if (total == 0) {
+      return nullptr;
+    }
+    uint64_t at = NextRandom() % total;
+    for (const version::RouteShare& it : route.shares) {
+      if (at < it.weight) {
+        return &it;
+      }
+      at -= it.weight;
+    }
+    return nullptr;
+  }
+
+  UpstreamView* Choose(const version::Route& route,
+                       std::span<const request::Endpoint> excluded,
+                       EntryDecision* decision, TimePoint now) {
+    decision->verdict =
+        excluded.empty() ? EntryVerdict::kNoUpstream : EntryVerdict::kNotTaken;
+    const version::RouteShare* share = PickShare(route);
+    if (share == nullptr || excluded.size() >= kMaxOffers) {
+      return nullptr;
+    }
+    std::vector<UpstreamView*> views;
+    std::vector<PlacementCandidate> candidates;
+    for (const bool last_resort : {false, true}) {
+      for (auto& [sidecar, view] : upstreams_) {
+        const bool tried = std::find(excluded.begin(), excluded.end(),
+                                     sidecar) != excluded.end();
+        if (view.tag() == share->tag && !tried &&
+            view.MayTake(now, last_resort)) {
+          views.push_back(&view);
+          candidates.push_back(view.Candidate(now));
+        }
+      }
+      if (!views.empty()) {
+        break;
+      }
+    }
+    PlacementSettings settings;
+    settings.zone_cost = route.shape == version::TrafficShape::kBulk
+                             ? kBulkZoneCost
+                             : kShortZoneCost;
+    settings.longest_wait = route.timeout;
+    const Placement placement =
+        ChooseUpstream(candidates, settings, NextRandom());
+    decision->expected_wait = placement.wait;
+    if (!placement.chosen) {
+      if (!views.empty()) {
+        decision->verdict = EntryVerdict::kOverloaded;
+      }
+      return nullptr;
+    }
+    return views[*placement.chosen];
+  }
+
+  // The caller got no answer to its first packet within 200 or 600 ms.
+  void OnFirstPacketCopy(Flow* flow, const request::ParsedPacket& packet,
+                         const version::Route& route, TimePoint now) {
+    flow->last_packet = now;
+    const auto it = upstreams_.find(flow->holder);
+    const bool alive = it != upstreams_.end() && it->second.MayTake(now, false);
+    if (flow->open || alive) {
+      Forward(flow->holder, packet.bytes, /*probe=*/false, now);
+      return;
+    }
+    Flow again = *flow;
+    again.twice = true;
+    Offer(std::move(again), packet, route, EntryVerdict::kPlacedAgain, now);
+  }
+
+  void OnReturned(const request::Endpoint& from, request::ReturnReason reason,
+                  std::span<const std::byte> bytes, TimePoint now) {
+    const auto packet = sink_->Parse(bytes);
+    if (!packet || routes_ == nullptr) {
+      return;
+    }
+    const auto upstream = upstreams_.find(from);
+    if (upstream != upstreams_.end()) {
+      upstream->second.OnReturned(reason, now);
+    }
+    const auto it = flows_.find(packet->flow);
+    const version::Route* route = routes_->Find(packet->flow.service);
+    if (it == flows_.end() || route == nullptr || it->second.holder != from ||
+        it->second.open || !packet->IsFirst()) {
+      return;
+    }
+    Flow flow = it->second;
+    ++flow.returned;
+    Offer(std::move(flow), *packet, *route, EntryVerdict::kPlacedAgain, now);
+  }
+
+  std::vector<request::Endpoint> SidecarsOf(
+      const version::Route& route, const request::Endpoint& address) const {
+    std::vector<request::ServiceTag> tags;
+    if (const auto it = earlier_services_.find(address);
+        it != earlier_services_.end()) {
+      tags = it->second;
+    }
+    for (const version::RouteShare& it : route.shares) {
+      tags.push_back(it.tag);
+    }
+    std::vector<request::Endpoint> sidecars;
+    for (const auto& [sidecar, view] : upstreams_) {
+      if (std::find(tags.begin(), tags.end(), view.tag()) != tags.end()) {
+        sidecars.push_back(sidecar);
+      }
+    }
+    return sidecars;
+  }
+
+  // A packet of a flow that this instance did not place: the routers changed
+  // their mind, or this process is new.
+  void Locate(const request::ParsedPacket& packet, const version::Route& route,
+              TimePoint now) {
+    auto [it, inserted] = searches_.try_emplace(packet.flow);
+    Search& search = it->second;
+    if (search.packets.size() < kMaxKeptPackets) {
+      search.packets.emplace_back(packet.bytes.begin(), packet.bytes.end());
+    }
+    if (!inserted) {
+      return;
+    }
+    if (searches_.size() > kMaxSearches) {
+      searches_.erase(it);
+      return;
+    }
+    search.since = now;
+    search.route = route.name;
+    request::HopMessage message;
+    message.kind = request::HopKind::kLocate;
+    message.flow = packet.flow;
+    message.acknowledgment = packet.acknowledgment;
+    const auto sidecars = SidecarsOf(route, packet.flow.service);
+    search.asked = sidecars.size();
+    for (const request::Endpoint& sidecar : sidecars) {
+      message.service = TagOf(sidecar);
+      sink_->Send(sidecar, message, {});
+    }
+  }
+
+  void OnHeld(const request::Endpoint& from, const request::FlowKey& key,
+              TimePoint now) {
+    Flow& flow = flows_[key];
+    flow.holder = from;
+    flow.open = true;
+    flow.twice = false;
+    flow.last_packet = now;
+    flow.first_packet.clear();
+    const auto it = searches_.find(key);
+    if (it == searches_.end()) {
+      return;
+    }
+    const Search search = std::move(it->second);
+    searches_.erase(it);
+    for (size_t i = 0; i < search.packets.size(); ++i) {
+      const auto& packet = search.packets[i];
+      // A probe carried the first packet to this sidecar already.
+      const bool sent = search.probed && i == 0;
+      if (!sent) {
+        Forward(from, packet, /*probe=*/false, now);
+      }
+    }
+    EntryDecision decision;
+    decision.verdict = EntryVerdict::kLocated;
+    decision.flow = key;
+    decision.route = routes_ == nullptr ? nullptr : routes_->Find(key.service);
+    decision.sidecar = from;
+    decision.route_revision = routes_ == nullptr ? 0 : routes_->revision;
+    sink_->Decided(decision);
+  }
+
+  void OnNotHeld(const request::Endpoint& from, const request::FlowKey& key,
+                 TimePoint now) {
+    const auto flow = flows_.find(key);
+    if (flow != flows_.end() && flow->second.holder == from) {
+      flows_.erase(flow);
+    }
+    const auto it = searches_.find(key);
+    if (it != searches_.end()) {
+      ++it->second.denied;
+      ProbeUnsure(&it->second, now);
+    }
+  }
+
+  void OnUnsure(const request::Endpoint& from, const request::FlowKey& key,
+                TimePoint now) {
+    const auto it = searches_.find(key);
+    if (it != searches_.end()) {
+      it->second.unsure.push_back(from);
+      ProbeUnsure(&it->second, now);
+    }
+  }
+
+  // When nobody knows the flow, it may be held beside a sidecar that is
+  // younger than its upstream: only these upstreams are asked, with a packet.
+  void ProbeUnsure(Search* search, TimePoint now) {
+    const bool all_answered =
+        search->denied + search->unsure.size() >= search->asked;
+    if (!all_answered || search->probed || search->unsure.empty()) {
+      return;
+    }
+    search->probed = true;
+    for (const request::Endpoint& it : search->unsure) {
+      Forward(it, search->packets.front(), /*probe=*/true, now);
+    }
+  }
+
+  void Forward(const request::Endpoint& sidecar,
+               std::span<const std::byte> packet, bool probe, TimePoint now) {
+    const auto it = upstreams_.find(sidecar);
+    if (it == upstreams_.end()) {
+      return;
+    }
+    request::HopMessage message;
+    message.kind = request::HopKind::kPacket;
+    message.service = it->second.tag();
+    message.probe = probe;
+    it->second.OnSent(now);
+    sink_->Send(sidecar, message, packet);
+  }
+
+  void GreetUpstreams(TimePoint now) {
+    for (auto& [sidecar, view] : upstreams_) {
+      if (view.GreetingDue(now, kHelloPeriod)) {
+        request::HopMessage message;
+        message.kind = request::HopKind::kHello;
+        message.service = view.tag();
+        view.OnGreeted(now);
+        sink_->Send(sidecar, message, {});
+      }
+    }
+  }
+
+  void ExpireSearches(TimePoint now) {
+    for (auto it = searches_.begin(); it != searches_.end();) {
+      const auto current = it++;
+      Search& search = current->second;
+      if (now - search.since < kSearchTimeout) {
+        continue;
+      }
+      if (!search.probed && !search.unsure.empty()) {
+        // Some sidecars are silent; those that are unsure are asked anyway.
+        search.asked = search.denied + search.unsure.size();
+        search.since = now;
+        ProbeUnsure(&search, now);
+        continue;
+      }
+      Report(EntryVerdict::kNotLocated, current->first,
+             routes_->Find(current->first.service));
+      searches_.erase(current);
+    }
+  }
+
+  void ExpireFlows(TimePoint now) {
+    const Milliseconds idle =
+        routes_ == nullptr ? Milliseconds(0) : routes_->idle_timeout;
+    absl::erase_if(flows_, [&](const auto& it) {
+      const Flow& flow = it.second;
+      const auto age = now - flow.last_packet;
+      if (flow.ended) {
+        return age > kEndedLife;
+      }
+      return flow.open ? age > idle : age > kOpeningLife;
+    });
+  }
+
+  uint64_t NextRandom() {
+    // xorshift64
+    random_ ^= random_ << 13;
+    random_ ^= random_ >> 7;
+    random_ ^= random_ << 17;
+    return random_;
+  }
+
+  EntryRouterConfig config_;
+  uint64_t random_;
+  S* sink_;
+  std::shared_ptr<const version::RouteMap> routes_;
+  std::map<request::Endpoint, std::vector<request::ServiceTag>>
+      earlier_services_;
+  std::map<request::Endpoint, UpstreamView> upstreams_;
+  absl::flat_hash_map<request::FlowKey, Flow, request::FlowKeyHash> flows_;
+  std::map<request::FlowKey, Search> searches_;
+  TimePoint next_sweep_;
+};
+
+}  // namespace kumquatvalve::connection
+
+#endif  // KUMQUATVALVE_CONNECTION_ENTRY_ROUTER_H_
--- /dev/null
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -0,0 +1,551 @@
+#ifndef KUMQUATVALVE_CONNECTION_UPSTREAM_GATE_H_
+#define KUMQUATVALVE_CONNECTION_UPSTREAM_GATE_H_
+
+#include <absl/container/flat_hash_map.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <concepts>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "kumquatvalve/connection/admission_policy.h"
+#include "kumquatvalve/connection/identity_tracker.h"
+#include "kumquatvalve/request/flow_key.h"
+#include "kumquatvalve/request/hop_message.h"
+#include "kumquatvalve/request/packet.h"
+
+namespace kumquatvalve::connection {
+
+/// What a sidecar decided about a packet; for logs and counters.
+enum class GateVerdict : uint8_t {
+  /// A first packet was delivered to the upstream.
+  kAdmitted,
+  /// A first packet was returned to its entry instance.
+  kReturned,
+  /// A flow that the upstream holds was not known and is known now.
+  kAdopted,
+  /// A packet of an unknown flow was delivered to ask the upstream.
+  kProbed,
+  /// A packet of a flow that is not held here.
+  kNotHeld,
+  /// The upstream does not hold a flow that was known here.
+  kLost,
+  /// The upstream stopped or began again to answer first packets.
+  kUnresponsive,
+  kResponsive,
+};
+
+inline constexpr size_t kGateVerdicts = 8;
+
+constexpr std::string_view Name(GateVerdict verdict) {
+  constexpr std::array<std::string_view, kGateVerdicts> kNames = {
+      "admitted", "returned", "adopted",      "probed",
+      "not_held", "lost",     "unresponsive", "responsive"};
+  return kNames[static_cast<size_t>(verdict)];
+}
+
+/// A decision about a flow with the inputs that led to it.
+struct GateDecision {
+  GateVerdict verdict = GateVerdict::kAdmitted;
+  request::FlowKey flow;
+  request::ReturnReason reason = request::ReturnReason::kNone;
+  uint16_t in_progress = 0;
+  uint16_t opening = 0;
+};
+
+/// What a sidecar's gate lets happen.
+template <typename S>
+concept GateSink = requires(S sink, const request::Endpoint& to,
+                            const request::HopMessage& message,
+                            std::span<const std::byte> packet,
+                            const GateDecision& decision) {
+  // Hands a caller's packet to the upstream.
+  sink.Deliver(packet);
+  // Sends the upstream's packet to the caller.
+  sink.Answer(to, packet);
+  // Sends a message, followed by a packet or nothing, to an entry instance.
+  sink.Send(to, message, packet);
+  sink.Decided(decision);
+};
+
+/// The decisions of the sidecar beside one upstream: which first packets the
+/// upstream gets, which flows it holds, and how loaded it is. A function of
+/// packets, messages of entry instances, the upstream's own word and a
+/// passed-in clock (docs/platform.md). Calls come from one thread.
+template <GateSink S>
+class UpstreamGate {
+ public:
+  /// @param service the service that the settings name, in force until the
+  ///   upstream names its own.
+  /// @param started_ms start of this process, Unix time in milliseconds.
+  UpstreamGate(std::string_view service, uint64_t started_ms, S* sink)
+      : tag_(request::ServiceTagOf(service)),
+        started_ms_(started_ms),
+        sink_(sink) {}
+
+  UpstreamGate(const UpstreamGate&) = delete;
+  UpstreamGate& operator=(const UpstreamGate&) = delete;
+
+  /// The upstream described itself. A later boot forgets the flows of the one
+  /// before.
+  void OnIdentity(const UpstreamIdentity& identity, TimePoint now) {
+    if (identity.boot_ms != identity_.boot_ms && identity_.boot_ms != 0) {
+      flows_.clear();
+      load_.in_progress = 0;
+      load_.opening = 0;
+      first_unanswered_.reset();
+      load_.unresponsive = false;
+      known_from_start_ = true;
+    } else if (identity_.boot_ms == 0) {
+      known_from_start_ = identity.boot_ms > started_ms_;
+    }
+    identity_ = identity;
+    tag_ = request::ServiceTagOf(identity.service);
+    load_.boot_ms = identity.boot_ms;
+    load_.slots = static_cast<uint16_t>(identity.slots);
+    load_.draining = identity.draining;
+    ReportToAll(now);
+  }
+
+  /// The upstream has left or this process is about to stop: no new flows.
+  void StartDrain(TimePoint now) {
+    load_.draining = true;
+    ReportToAll(now);
+  }
+
+  /// A packet that an entry instance sent on.
+  void OnCallerPacket(const request::Endpoint& entry,
+                      const request::HopMessage& message,
+                      const request::ParsedPacket& packet, TimePoint now) {
+    NoteEntry(entry, now);
+    if (message.service != tag_) {
+      packet.IsFirst()
+          ? Return(entry, packet, request::ReturnReason::kWrongService)
+          : DenyFlow(entry, packet.flow);
+      return;
+    }
+    const auto it = flows_.find(packet.flow);
+    if (packet.IsFirst()) {
+      it != flows_.end() && it->second.caller_isn == packet.sequence
+          ? sink_->Deliver(packet.bytes)
+          : OnFirstPacket(entry, packet, now);
+      return;
+    }
+    if (it == flows_.end()) {
+      OnUnknownFlow(entry, message, packet, now);
+      return;
+    }
+    OnKnownFlow(entry, &it->second, packet, now);
+  }
+
+  void OnHopMessage(const request::Endpoint& entry,
+                    const request::HopMessage& message, TimePoint now) {
+    NoteEntry(entry, now);
+    if (message.kind == request::HopKind::kHello) {
+      SendReport(entry);
+    } else if (message.kind == request::HopKind::kLocate) {
+      OnLocate(entry, message);
+    }
+  }
+
+  /// A packet that the upstream sent.
+  void OnUpstreamPacket(const request::ParsedPacket& packet, TimePoint now) {
+    const request::FlowKey key = request::Reverse(packet.flow);
+    first_unanswered_.reset();
+    if (load_.unresponsive) {
+      load_.unresponsive = false;
+      Report(GateVerdict::kResponsive, key);
+      ReportToAll(now);
+    }
+    auto it = flows_.find(key);
+    if (it == flows_.end()) {
+      it = flows_.emplace(key, Flow()).first;
+      it->second.open = true;
+      Report(GateVerdict::kAdopted, key);
+    }
+    Flow& flow = it->second;
+    flow.last_packet = now;
+    if (packet.syn) {
+      flow.upstream_isn = packet.sequence;
+    } else if (packet.payload_size > 0) {
+      FinishRequest(&flow, now);
+    }
+    if (flow.probed_by) {
+      flow.open = true;
+      AnswerLocate(*flow.probed_by, request::HopKind::kHeld, key);
+      flow.probed_by.reset();
+    }
+    if (packet.fin || packet.rst) {
+      flow.upstream_ended = true;
+      EndWork(&flow);
+    }
+    sink_->Answer(key.caller, packet.bytes);
+  }
+
+  /// A caller's packet that the upstream did not take; its marks are cleared.
+  void OnRejectedPacket(const request::ParsedPacket& packet, TimePoint now) {
+    first_unanswered_.reset();
+    const auto it = flows_.find(packet.flow);
+    if (it == flows_.end()) {
+      return;
+    }
+    Flow flow = it->second;
+    if (packet.IsFirst() && flow.open) {
+      return;
+    }
+    EndWork(&it->second);
+    flows_.erase(it);
+    if (packet.IsFirst()) {
+      Return(flow.entry, packet, request::ReturnReason::kRejected);
+    } else {
+      Report(flow.probed_by ? GateVerdict::kNotHeld : GateVerdict::kLost,
+             packet.flow);
+      AnswerLocate(flow.entry, request::HopKind::kNotHeld, packet.flow);
+    }
+    ReportToAll(now);
+  }
+
+  /// To be called every `kTick`.
+  void OnTick(TimePoint now) {
+    CheckResponsive(now);
+    for (auto& [entry, state] : entries_) {
+      if (state.report_due && now - state.reported_at >= kReportPeriod) {
+        SendReport(entry);
+        state.report_due = false;
+        state.reported_at = now;
+      }
+    }
+    if (now >= next_sweep_) {
+      next_sweep_ = now + kSweepPeriod;
+      Sweep(now);
+    }
+  }
+
+  /// Longest time between two calls of `OnTick`.
+  static constexpr std::chrono::milliseconds kTick{50};
+
+  size_t flows() const { return flows_.size(); }
+  size_t open_flows() const { return CountOpen(); }
+  const request::UpstreamLoad& load() const { return load_; }
+  const UpstreamIdentity& identity() const { return identity_; }
+  bool heard_entries() const { return !entries_.empty(); }
+
+ private:
+  using Milliseconds = std::chrono::milliseconds;
+
+  // An entry instance learns of a changed load within this time.
+  static constexpr Milliseconds kReportPeriod{100};
+  // An upstream answers a first packet in less than 1 ms; one that works with
+  // every slot still does.
+  static constexpr Milliseconds kUnresponsiveAfter{120};
+  // Pause between two trials of an unresponsive upstream.
+  static constexpr Milliseconds kTrialPeriod{400};
+  static constexpr Milliseconds kSweepPeriod{1000};
+  static constexpr Milliseconds kOpeningLife{2000};
+  static constexpr Milliseconds kEndedLife{4000};
+  // Open flows may be forgotten: the upstream tells of those that it holds.
+  static constexpr Milliseconds kIdleLife{60000};
+  static constexpr Milliseconds kEntryLife{10000};
+  // A flow that opened and sent no request for this long is no work to come.
+  static constexpr Milliseconds kOpeningWork{300};
+  // Weight of one request in the mean service time.
+  static constexpr double kServiceTimeWeight = 0.05;
+
+  struct Flow {
+    request::Endpoint entry;
+    uint32_t caller_isn = 0;
+    std::optional<uint32_t> upstream_isn;
+    bool open = false;
+    bool caller_ended = false;
+    bool upstream_ended = false;
+    /// A request was handed over and its answer has not begun.
+    bool busy = false;
+    /// Counted as work to come.
+    bool opening = false;
+    uint16_t in_progress_at_start = 0;
+    TimePoint request_at;
+    TimePoint last_packet;
+    TimePoint admitted_at;
+    /// Set while the upstream is asked whether it holds the flow.
+    std::optional<request::Endpoint> probed_by;
+  };
+
+  struct Entry {
+    TimePoint heard_at;
+    TimePoint reported_at;
+    bool report_due = true;
+  };
+
+  void Report(GateVerdict verdict, const request::FlowKey& flow,
+              request::ReturnReason reason = request::ReturnReason::kNone) {
+    sink_->Decided({verdict, flow, reason, load_.in_progress, load_.opening});
+  }
+
+  void NoteEntry(const request::Endpoint& entry, TimePoint now) {
+    Entry& state = entries_[entry];
+    state.heard_at = now;
+    state.report_due = true;
+  }
+
+  void OnFirstPacket(const request::Endpoint& entry,
+                     const request::ParsedPacket& packet, TimePoint now) {
+    if (load_.draining) {
+      Return(entry, packet, request::ReturnReason::kDraining);
+      return;
+    }
+    if (load_.unresponsive) {
+      if (now < next_trial_) {
+        Return(entry, packet, request::ReturnReason::kUnresponsive);
+        return;
+      }
+      next_trial_ = now + kTrialPeriod;
+    }
+    if (const auto old = flows_.find(packet.flow); old != flows_.end()) {
+      EndWork(&old->second);
+    }
+    Flow flow;
+    flow.entry = entry;
+    flow.caller_isn = packet.sequence;
+    flow.admitted_at = now;
+    flow.last_packet = now;
+    flow.opening = true;
+    ++load_.opening;
+    flows_.insert_or_assign(packet.flow, flow);
+    if (!first_unanswered_) {
+      first_unanswered_ = now;
+    }
+    Report(GateVerdict::kAdmitted, packet.flow);
+    sink_->Deliver(packet.bytes);
+  }
+
+  void OnKnownFlow(const request::Endpoint& entry, Flow* flow,
+                   const request::ParsedPacket& packet, TimePoint now) {
+    const bool other_upstream_chosen =
+        !flow->open && flow->upstream_isn && packet.ack &&
+        packet.acknowledgment != *flow->upstream_isn + 1;
+    if (other_upstream_chosen) {
+      EndWork(flow);
+      flows_.erase(packet.flow);
+      DenyFlow(entry, packet.flow);
+      return;
+    }
+    flow->entry = entry;
+    flow->open = true;
+    flow->last_packet = now;
+    if (packet.payload_size > 0 && !flow->busy) {
+      StartRequest(flow, now);
+    }
+    if (packet.fin || packet.rst) {
+      flow->caller_ended = true;
+      if (packet.rst) {
+        EndWork(flow);
+      }
+    }
+    sink_->Deliver(packet.bytes);
+  }
+
+  void OnUnknownFlow(const request::Endpoint& entry,
+                     const request::HopMessage& /*message*/,
+                     const request::ParsedPacket& packet, TimePoint now) {
+    if (known_from_start_) {
+      DenyFlow(entry, packet.flow);
+      return;
+    }
+    Flow flow;
+    flow.entry = entry;
+    flow.last_packet = now;
+    flow.admitted_at = now;
+    flow.probed_by = entry;
+    flows_.insert_or_assign(packet.flow, flow);
+    Report(GateVerdict::kProbed, packet.flow);
+    sink_->Deliver(packet.bytes);
+  }
+
+  void OnLocate(const request::Endpoint& entry,
+                const request::HopMessage& message) {
+    if (message.service != tag_) {
+      AnswerLocate(entry, request::HopKind::kNotHeld, message.flow);
+      return;
+    }
+    const auto it = flows_.find(message.flow);
+    if (it == flows_.end() || it->second.probed_by) {
+      AnswerLocate(entry,
+                   known_from_start_ ? request::HopKind::kNotHeld
+                                     : request::HopKind::kUnsure,
+                   message.flow);
+      return;
+    }
+    const Flow& flow = it->second;
+    const bool held =
+        flow.open ||
+        (flow.upstream_isn && message.acknowledgment == *flow.upstream_isn + 1);
+    AnswerLocate(entry,
+                 held ? request::HopKind::kHeld : request::HopKind::kNotHeld,
+                 message.flow);
+  }
+
+  void AnswerLocate(const request::Endpoint& entry, request::HopKind kind,
+                    const request::FlowKey& flow) {
+    if (entry == request::Endpoint()) {
+      return;
+    }
+    request::HopMessage answer;
+    answer.kind = kind;
+    answer.service = tag_;
+    answer.flow = flow;
+    sink_->Send(entry, answer, {});
+  }
+
+  void DenyFlow(const request::Endpoint& entry, const request::FlowKey& flow) {
+    Report(GateVerdict::kNotHeld, flow);
+    AnswerLocate(entry, request::HopKind::kNotHeld, flow);
+  }
+
+  void Return(const request::Endpoint& entry,
+              const request::ParsedPacket& packet,
+              request::ReturnReason reason) {
+    Report(GateVerdict::kReturned, packet.flow, reason);
+    if (entry == request::Endpoint()) {
+      return;
+    }
+    request::HopMessage message;
+    message.kind = request::HopKind::kReturned;
+    message.service = tag_;
+    message.reason = reason;
+    sink_->Send(entry, message, packet.bytes);
+  }
+
+  void StartRequest(Flow* flow, TimePoint now) {
+    EndOpening(flow);
+    flow->busy = true;
+    flow->request_at = now;
+    ++load_.in_progress;
+    flow->in_progress_at_start = load_.in_progress;
+  }
+
+  void EndOpening(Flow* flow) {
+    if (flow->opening) {
+      flow->opening = false;
+      --load_.opening;
+    }
+  }
+
+  void FinishRequest(Flow* flow, TimePoint now) {
+    if (!flow->busy) {
+      return;
+    }
+    flow->busy = false;
+    --load_.in_progress;
+    // Requests that found every slot busy waited for some of their time.
+    const double waited =
+        std::max(1.0, flow->in_progress_at_start /
+                          std::max(1.0, static_cast<double>(load_.slots)));
+    const double taken =
+        std::chrono::duration<double, std::micro>(now - flow->request_at)
+            .count() /
+        waited;
+    const double mean =
+        load_.service_time_us == 0
+            ? taken
+            : load_.service_time_us +
+                  (taken - load_.service_time_us) * kServiceTimeWeight;
+    load_.service_time_us = static_cast<uint32_t>(std::max(1.0, mean));
+  }
+
+  void EndWork(Flow* flow) {
+    EndOpening(flow);
+    if (flow->busy) {
+      flow->busy = false;
+      --load_.in_progress;
+    }
+  }
+
+  void CheckResponsive(TimePoint now) {
+    if (!first_unanswered_ || load_.unresponsive ||
+        now - *first_unanswered_ < kUnresponsiveAfter) {
+      return;
+    }
+    load_.unresponsive = true;
+    next_trial_ = now + kTrialPeriod;
+    Report(GateVerdict::kUnresponsive, {});
+    ReportToAll(now);
+  }
+
+  void ReportToAll(TimePoint now) {
+    for (auto& [entry, state] : entries_) {
+      SendReport(entry);
+      state.report_due = false;
+      state.reported_at = now;
+    }
+  }
+
+  void SendReport(const request::Endpoint& entry) {
+    load_.open_flows = static_cast<uint32_t>(CountOpen());
+    request::HopMessage message;
+    message.kind = request::HopKind::kLoad;
+    message.service = tag_;
+    message.load = load_;
+    sink_->Send(entry, message, {});
+  }
+
+  size_t CountOpen() const {
+    return static_cast<size_t>(
+        std::count_if(flows_.begin(), flows_.end(), [](const auto& it) {
+          const Flow& flow = it.second;
+          return flow.open && !flow.caller_ended && !flow.upstream_ended;
+        }));
+  }
+
+  void Sweep(TimePoint now) {
+    for (auto& [key, flow] : flows_) {
+      if (flow.opening && now - flow.admitted_at > kOpeningWork) {
+        EndOpening(&flow);
+      }
+    }
+    absl::erase_if(flows_, [&](auto& it) {
+      Flow& flow = it.second;
+      const auto age = now - flow.last_packet;
+      const bool ended = flow.caller_ended || flow.upstream_ended;
+      const bool old = ended       ? age > kEndedLife
+                       : flow.open ? age > kIdleLife
+                                   : age > kOpeningLife;
+      if (old) {
+        EndWork(&flow);
+      }
+      return old;
+    });
+    absl::erase_if(entries_, [&](const auto& it) {
+      return now - it.second.heard_at > kEntryLife;
+    });
+  }
+
+  struct EndpointHash {
+    size_t operator()(const request::Endpoint& endpoint) const {
+      return request::FlowKeyHash()({endpoint, {}, 0});
+    }
+  };
+
+  UpstreamIdentity identity_;
+  request::ServiceTag tag_;
+  uint64_t started_ms_;
+  S* sink_;
+  request::UpstreamLoad load_;
+  /// This process has seen every flow of the upstream's boot.
+  bool known_from_start_ = false;
+  absl::flat_hash_map<request::FlowKey, Flow, request::FlowKeyHash> flows_;
+  absl::flat_hash_map<request::Endpoint, Entry, EndpointHash> entries_;
+  /// First packet that the upstream has not answered.
+  std::optional<TimePoint> first_unanswered_;
+  TimePoint next_trial_;
+  TimePoint next_sweep_;
+};
+
+}  // namespace kumquatvalve::connection
+
+#endif  // KUMQUATVALVE_CONNECTION_UPSTREAM_GATE_H_
--- /dev/null
+++ b/packages/connection/src/placement.cc
@@ -0,0 +1,72 @@
+#include "kumquatvalve/connection/placement.h"
+
+#include <algorithm>
+
+namespace kumquatvalve::connection {
+namespace {
+
+using Microseconds = std::chrono::duration<double, std::micro>;
+
+// Part of a request's time that a busy slot costs a new flow while others are
+// free: reports are up to 100 ms old, so a fuller upstream is likelier to have
+// no free slot by now.
+constexpr double kBusyShare = 0.5;
+
+// Cost of one open flow a slot. A flow that stays open sends about one request
+// a second, so it takes about 3% of a slot.
+constexpr Microseconds kOpenFlowCost{1500};
+
+Microseconds CostOf(const PlacementCandidate& candidate,
+                    const PlacementSettings& settings) {
+  const Microseconds service = candidate.service_time;
+  Microseconds cost = service + ExpectedWait(candidate);
+  cost += service * (kBusyShare * candidate.in_progress / candidate.slots);
+  cost += kOpenFlowCost * (candidate.open_flows / candidate.slots);
+  if (!candidate.same_zone) {
+    cost += settings.zone_cost;
+  }
+  return cost;
+}
+
+// Mixes the bits of `value` (the finalizer of SplitMix64).
+uint64_t Mix(uint64_t value) {
+  value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  value = (value ^ (value >> 27)) * 0x94d049bb133111ebULL;
+  return value ^ (value >> 31);
+}
+
+}  // namespace
+
+std::chrono::microseconds ExpectedWait(const PlacementCandidate& candidate) {
+  const double ahead =
+      std::max(0.0, candidate.in_progress + 1 - candidate.slots);
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+      Microseconds(candidate.service_time) * (ahead / candidate.slots));
+}
+
+Placement ChooseUpstream(std::span<const PlacementCandidate> candidates,
+                         const PlacementSettings& settings, uint64_t random) {
+  Placement placement;
+  std::optional<size_t> best;
+  Microseconds best_cost{0};
+  uint64_t best_tie = 0;
+  for (size_t i = 0; i < candidates.size(); ++i) {
+    const Microseconds cost = CostOf(candidates[i], settings);
+    const uint64_t tie = Mix(random + i);
+    if (!best || cost < best_cost || (cost == best_cost && tie < best_tie)) {
+      best = i;
+      best_cost = cost;
+      best_tie = tie;
+    }
+  }
+  if (!best) {
+    return placement;
+  }
+  placement.wait = ExpectedWait(candidates[*best]);
+  if (placement.wait <= settings.longest_wait) {
+    placement.chosen = best;
+  }
+  return placement;
+}
+
+}  // namespace kumquatvalve::connection
--- /dev/null
+++ b/packages/connection/src/upstream_view.cc
@@ -0,0 +1,136 @@
+#include "kumquatvalve/connection/upstream_view.h"
+
+#include <algorithm>
+
+namespace kumquatvalve::connection {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+// A sidecar reports at most 100 ms after a packet reached it; the rest is for
+// the way there and back and for a busy processor.
+constexpr milliseconds kSilence{250};
+
+// An upstream whose queue was full is tried again after about one request.
+constexpr milliseconds kFullPause{30};
+
+// An upstream that does not answer first packets is left alone until its
+// sidecar has tried it again.
+constexpr milliseconds kUnresponsivePause{250};
+
+// An upstream that leaves, or a sidecar that serves another service now, is
+// left alone until the store has told about it.
+constexpr milliseconds kGonePause{3000};
+
+// Until the first report: the mean work of a short request in the brief's
+// deployments.
+constexpr microseconds kUnknownServiceTime{30000};
+
+}  // namespace
+
+UpstreamView::UpstreamView(const version::UpstreamRecord& record, TimePoint now)
+    : record_(record),
+      tag_(request::ServiceTagOf(record.service.text())),
+      reported_at_(now),
+      heard_at_(now) {}
+
+bool UpstreamView::Same(const version::UpstreamRecord& record) const {
+  return record_.sidecar == record.sidecar &&
+         record_.service == record.service && record_.boot_ms == record.boot_ms;
+}
+
+void UpstreamView::OnRecord(const version::UpstreamRecord& record,
+                            bool same_zone) {
+  record_ = record;
+  same_zone_ = same_zone;
+}
+
+void UpstreamView::OnLoad(const request::HopMessage& message, TimePoint now) {
+  if (message.service != tag_) {
+    avoid_until_ = now + kGonePause;
+    return;
+  }
+  load_ = message.load;
+  placed_since_report_ = 0;
+  reported_at_ = now;
+}
+
+void UpstreamView::OnHeard(TimePoint now) {
+  heard_at_ = now;
+  unanswered_since_.reset();
+}
+
+void UpstreamView::OnSent(TimePoint now) {
+  if (!unanswered_since_) {
+    unanswered_since_ = now;
+  }
+}
+
+void UpstreamView::OnPlaced(TimePoint /*now*/) { ++placed_since_report_; }
+
+void UpstreamView::OnReturned(request::ReturnReason reason, TimePoint now) {
+  switch (reason) {
+    case request::ReturnReason::kDraining:
+      load_.draining = true;
+      avoid_until_ = now + kGonePause;
+      break;
+    case request::ReturnReason::kWrongService:
+      avoid_until_ = now + kGonePause;
+      break;
+    case request::ReturnReason::kUnresponsive:
+      avoid_until_ = now + kUnresponsivePause;
+      break;
+    case request::ReturnReason::kRejected:
+    case request::ReturnReason::kQueueFull:
+    case request::ReturnReason::kNone:
+      avoid_until_ = std::max(avoid_until_, now + kFullPause);
+      break;
+  }
+}
+
+void UpstreamView::OnGreeted(TimePoint now) {
+  greeted_at_ = now;
+  OnSent(now);
+}
+
+bool UpstreamView::Silent(TimePoint now) const {
+  return unanswered_since_ && now - *unanswered_since_ > kSilence;
+}
+
+bool UpstreamView::MayTake(TimePoint now, bool last_resort) const {
+  if (record_.draining || load_.draining) {
+    return false;
+  }
+  if (last_resort) {
+    return true;
+  }
+  return now >= avoid_until_ && !load_.unresponsive && !Silent(now);
+}
+
+bool UpstreamView::GreetingDue(TimePoint now,
+                               std::chrono::milliseconds period) const {
+  const TimePoint last = std::max(greeted_at_, heard_at_);
+  return greeted_at_ == TimePoint() || now - last >= period;
+}
+
+PlacementCandidate UpstreamView::Candidate(TimePoint /*now*/) const {
+  PlacementCandidate candidate;
+  candidate.slots =
+      std::max<double>(1, load_.slots != 0 ? load_.slots : record_.slots);
+  candidate.in_progress = static_cast<double>(load_.in_progress) +
+                          load_.opening + placed_since_report_;
+  candidate.open_flows = load_.open_flows + placed_since_report_;
+  candidate.service_time = load_.service_time_us != 0
+                               ? microseconds(load_.service_time_us)
+                               : kUnknownServiceTime;
+  candidate.same_zone = same_zone_;
+  return candidate;
+}
+
+milliseconds UpstreamView::ReportAge(TimePoint now) const {
+  return duration_cast<milliseconds>(now - reported_at_);
+}
+
+}  // namespace kumquatvalve::connection
--- a/packages/process/include/kumquatvalve/process/logging.h
+++ b/packages/process/include/kumquatvalve/process/logging.h
@@ -21,7 +21,9 @@
   std::string value;
 };
 
-/// Writes numbered events with named fields to standard error through log4cxx.
+/// Writes numbered events with named fields to standard output through log4cxx.
+/// Standard output never blocks the process: a line that it does not take at
+/// once is left out.
 /// May be used from any thread.
 class Logger {
  public:
--- /dev/null
+++ b/packages/process/include/kumquatvalve/process/traffic_loop.h
@@ -0,0 +1,89 @@
+#ifndef KUMQUATVALVE_PROCESS_TRAFFIC_LOOP_H_
+#define KUMQUATVALVE_PROCESS_TRAFFIC_LOOP_H_
+
+#include <chrono>
+#include <cstddef>
+#include <mutex>
+#include <optional>
+#include <span>
+#include <utility>
+
+#include "kumquatvalve/process/traffic_counters.h"
+#include "kumquatvalve/process/udp_batch.h"
+
+namespace kumquatvalve::process {
+
+/// The newest value that one thread has for another.
+template <typename T>
+class Mailbox {
+ public:
+  void Put(T value) {
+    const std::lock_guard lock(mutex_);
+    value_ = std::move(value);
+  }
+  std::optional<T> Take() {
+    const std::lock_guard lock(mutex_);
+    return std::exchange(value_, std::nullopt);
+  }
+
+ private:
+  std::mutex mutex_;
+  std::optional<T> value_;
+};
+
+/// Sends datagrams in batches and counts what the kernel did not take.
+class BatchSender {
+ public:
+  /// Both must outlive the sender.
+  BatchSender(UdpSocket* socket, TrafficCounters* counters)
+      : socket_(socket), counters_(counters) {}
+
+  void Send(std::span<const std::byte> head, std::span<const std::byte> bytes,
+            const request::Endpoint& to) {
+    if (batch_.full()) {
+      Flush();
+    }
+    batch_.AddCopy(head, bytes, to);
+  }
+
+  void Flush() {
+    if (batch_.empty()) {
+      return;
+    }
+    const size_t lost = batch_.Flush(*socket_);
+    if (lost != 0) {
+      counters_->Count(PacketEvent::kSendFailed, lost);
+    }
+  }
+
+ private:
+  UdpSocket* socket_;
+  TrafficCounters* counters_;
+  SendBatch batch_;
+};
+
+/// Notices that a process did not run for a while: its clock went on while
+/// it was paused or had no processor.
+class PauseDetector {
+ public:
+  /// @return whether the process did not run for longer than `kPause`.
+  bool OnLoop(std::chrono::steady_clock::time_point now,
+              std::chrono::system_clock::time_point wall) {
+    const bool paused = now_ != std::chrono::steady_clock::time_point() &&
+                        (now - now_ > kPause || wall - wall_ > kPause);
+    now_ = now;
+    wall_ = wall;
+    return paused;
+  }
+
+  // The loop runs at least every 50 ms.
+  static constexpr std::chrono::milliseconds kPause{1000};
+
+ private:
+  std::chrono::steady_clock::time_point now_;
+  std::chrono::system_clock::time_point wall_;
+};
+
+}  // namespace kumquatvalve::process
+
+#endif  // KUMQUATVALVE_PROCESS_TRAFFIC_LOOP_H_
--- a/packages/process/src/announce_server.cc
+++ b/packages/process/src/announce_server.cc
@@ -6,9 +6,9 @@
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <string>
-#include <thread>
 #include <utility>
 
+#include "kumquatvalve/process/http_listener.h"
 #include "kumquatvalve/version/settings_reader.h"
 
 namespace kumquatvalve::process {
@@ -52,26 +52,26 @@
 class AnnounceServer::Server {
  public:
   Server() {
-    http_.new_task_queue = [] { return new httplib::ThreadPool(1); };
-    http_.set_keep_alive_max_count(1);
-    http_.set_payload_max_length(65536);
-    http_.Put("/announcement", [this](const httplib::Request& request,
-                                      httplib::Response& response) {
-      request::Failure failure;
-      auto announcement = ParseAnnouncement(request.body, &failure);
-      if (!announcement) {
-        response.status = 400;
-        response.set_content(ToString(failure) + "\n", "text/plain");
-        return;
-      }
-      Set(std::move(announcement));
-      response.set_content("ok\n", "text/plain");
-    });
-    http_.Delete("/announcement",
-                 [this](const httplib::Request&, httplib::Response& response) {
-                   Set(std::nullopt);
-                   response.set_content("ok\n", "text/plain");
-                 });
+    listener_.http().set_payload_max_length(65536);
+    listener_.http().Put(
+        "/announcement",
+        [this](const httplib::Request& request, httplib::Response& response) {
+          request::Failure failure;
+          auto announcement = ParseAnnouncement(request.body, &failure);
+          if (!announcement) {
+            response.status = 400;
+            response.set_content(ToString(failure) + "\n", "text/plain");
+            return;
+          }
+          Set(std::move(announcement));
+          response.set_content("ok\n", "text/plain");
+        });
+    listener_.http().Delete(
+        "/announcement",
+        [this](const httplib::Request&, httplib::Response& response) {
+          Set(std::nullopt);
+          response.set_content("ok\n", "text/plain");
+        });
   }
 
   void Set(std::optional<UpstreamAnnouncement> announcement) {
@@ -82,9 +82,7 @@
     }
   }
 
-  httplib::Server http_;
-  std::thread thread_;
-  uint16_t port_ = 0;
+  HttpListener listener_;
   std::mutex mutex_;
   std::optional<UpstreamAnnouncement> announcement_;
   bool changed_ = false;
@@ -96,32 +94,10 @@
 
 bool AnnounceServer::Start(const request::Endpoint& endpoint,
                            request::Failure* failure) {
-  const std::string host = request::ToString(endpoint.address);
-  httplib::Server& http = server_->http_;
-  const int port = endpoint.port == 0 ? http.bind_to_any_port(host.c_str())
-                   : http.bind_to_port(host.c_str(), endpoint.port)
-                       ? endpoint.port
-                       : -1;
-  if (port <= 0) {
-    *failure = {request::ResultCode::kSocketError,
-                "cannot serve HTTP on " + request::ToString(endpoint)};
-    return false;
-  }
-  server_->port_ = static_cast<uint16_t>(port);
-  server_->thread_ = std::thread([&http] { http.listen_after_bind(); });
-  return true;
+  return server_->listener_.Start(endpoint, failure);
 }
 
-void AnnounceServer::Stop() {
-  if (server_->thread_.joinable()) {
-    // `stop` has no effect before the thread listens.
-    while (!server_->http_.is_running()) {
-      std::this_thread::yield();
-    }
-    server_->http_.stop();
-    server_->thread_.join();
-  }
-}
+void AnnounceServer::Stop() { server_->listener_.Stop(); }
 
 std::optional<std::optional<UpstreamAnnouncement>>
 AnnounceServer::TakeChange() {
@@ -132,6 +108,6 @@
   return server_->announcement_;
 }
 
-uint16_t AnnounceServer::port() const { return server_->port_; }
+uint16_t AnnounceServer::port() const { return server_->listener_.port(); }
 
 }  // namespace kumquatvalve::process
--- /dev/null
+++ b/packages/process/src/decision_log.cc
@@ -0,0 +1,71 @@
+#include "kumquatvalve/process/decision_log.h"
+
+namespace kumquatvalve::process {
+
+std::string FlowId(const request::FlowKey& flow) {
+  return request::ToString(flow.caller) + ">" + request::ToString(flow.service);
+}
+
+bool DecisionLog::Take(Budget* budget, TimePoint now, uint64_t* left_out) {
+  if (now - budget->since >= std::chrono::seconds(1)) {
+    budget->since = now;
+    budget->used = 0;
+  }
+  if (budget->used >= kBudget) {
+    ++budget->left_out;
+    return false;
+  }
+  ++budget->used;
+  *left_out = budget->left_out;
+  budget->left_out = 0;
+  return true;
+}
+
+void DecisionLog::OnEntryDecision(const connection::EntryDecision& decision,
+                                  TimePoint now) {
+  const auto index = static_cast<size_t>(decision.verdict);
+  const uint64_t n = ++entry_counts_[index];
+  const bool ordinary = decision.verdict == connection::EntryVerdict::kPlaced;
+  uint64_t left_out = 0;
+  if (ordinary && n % kSampled != 1) {
+    return;
+  }
+  if (!Take(&entry_budgets_[index], now, &left_out)) {
+    return;
+  }
+  logger_->Log(
+      ordinary ? LogLevel::kInfo : LogLevel::kWarning, LogEvent::kFlowDecided,
+      Name(decision.verdict),
+      {{"flow", FlowId(decision.flow)},
+       {"route", decision.route == nullptr ? "" : decision.route->name},
+       {"sidecar",
+        decision.sidecar ? request::ToString(*decision.sidecar) : ""},
+       {"reason", std::string(Name(decision.reason))},
+       {"report_age_ms", std::to_string(decision.report_age.count())},
+       {"expected_wait_us", std::to_string(decision.expected_wait.count())},
+       {"route_revision", std::to_string(decision.route_revision)},
+       {"left_out", std::to_string(left_out)}});
+}
+
+void DecisionLog::OnGateDecision(const connection::GateDecision& decision,
+                                 TimePoint now) {
+  const auto index = static_cast<size_t>(decision.verdict);
+  const uint64_t n = ++gate_counts_[index];
+  const bool ordinary = decision.verdict == connection::GateVerdict::kAdmitted;
+  uint64_t left_out = 0;
+  if (ordinary && n % kSampled != 1) {
+    return;
+  }
+  if (!Take(&gate_budgets_[index], now, &left_out)) {
+    return;
+  }
+  logger_->Log(ordinary ? LogLevel::kInfo : LogLevel::kWarning,
+               LogEvent::kUpstreamDecided, Name(decision.verdict),
+               {{"flow", FlowId(decision.flow)},
+                {"reason", std::string(Name(decision.reason))},
+                {"in_progress", std::to_string(decision.in_progress)},
+                {"opening", std::to_string(decision.opening)},
+                {"left_out", std::to_string(left_out)}});
+}
+
+}  // namespace kumquatvalve::process
--- /dev/null
+++ b/packages/process/src/http_listener.cc
@@ -0,0 +1,42 @@
+#include "kumquatvalve/process/http_listener.h"
+
+#include <string>
+
+namespace kumquatvalve::process {
+
+HttpListener::HttpListener() {
+  http_.new_task_queue = [] { return new httplib::ThreadPool(1); };
+  http_.set_keep_alive_max_count(1);
+}
+
+HttpListener::~HttpListener() { Stop(); }
+
+bool HttpListener::Start(const request::Endpoint& endpoint,
+                         request::Failure* failure) {
+  const std::string host = request::ToString(endpoint.address);
+  const int port = endpoint.port == 0 ? http_.bind_to_any_port(host.c_str())
+                   : http_.bind_to_port(host.c_str(), endpoint.port)
+                       ? endpoint.port
+                       : -1;
+  if (port <= 0) {
+    *failure = {request::ResultCode::kSocketError,
+                "cannot serve HTTP on " + request::ToString(endpoint)};
+    return false;
+  }
+  port_ = static_cast<uint16_t>(port);
+  thread_ = std::thread([this] { http_.listen_after_bind(); });
+  return true;
+}
+
+void HttpListener::Stop() {
+  if (thread_.joinable()) {
+    // `stop` has no effect before the thread listens.
+    while (!http_.is_running()) {
+      std::this_thread::yield();
+    }
+    http_.stop();
+    thread_.join();
+  }
+}
+
+}  // namespace kumquatvalve::process
--- a/packages/process/src/log_event.cc
+++ b/packages/process/src/log_event.cc
@@ -16,10 +16,22 @@
       return "settings_reloaded";
     case LogEvent::kReloadRefused:
       return "reload_refused";
+    case LogEvent::kProcessPaused:
+      return "process_paused";
     case LogEvent::kTablesPublished:
       return "tables_published";
     case LogEvent::kDrainTimedOut:
       return "drain_timed_out";
+    case LogEvent::kFlowDecided:
+      return "flow_decided";
+    case LogEvent::kUpstreamDecided:
+      return "upstream_decided";
+    case LogEvent::kUpstreamChanged:
+      return "upstream_changed";
+    case LogEvent::kHeartbeatLate:
+      return "heartbeat_late";
+    case LogEvent::kHeartbeatUnreadable:
+      return "heartbeat_unreadable";
     case LogEvent::kTableWritten:
       return "table_written";
     case LogEvent::kTableWriteFailed:
--- a/packages/process/src/logging.cc
+++ b/packages/process/src/logging.cc
@@ -1,8 +1,10 @@
 #include "kumquatvalve/process/logging.h"
 
-#include <log4cxx/consoleappender.h>
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/level.h>
 #include <log4cxx/patternlayout.h>
+#include <poll.h>
+#include <unistd.h>
 
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -34,6 +36,38 @@
                      -1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+// Writes whole lines to standard output, and leaves a line out when the reader
+// is behind or gone.
+class OutputAppender : public log4cxx::AppenderSkeleton {
+ public:
+  explicit OutputAppender(const log4cxx::LayoutPtr& layout) : lines_(layout) {}
+
+  void close() override {}
+  bool requiresLayout() const override { return false; }
+
+ protected:
+  void append(const log4cxx::spi::LoggingEventPtr& event,
+              log4cxx::helpers::Pool& pool) override {
+    log4cxx::LogString line;
+    lines_->format(line, event, pool);
+    if (line.size() > kLongestLine) {
+      line.resize(kLongestLine - 1);
+      line += '\n';
+    }
+    pollfd output = {STDOUT_FILENO, POLLOUT, 0};
+    if (poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0) {
+      // What a pipe takes without blocking is at least `kLongestLine`.
+      (void)!write(STDOUT_FILENO, line.data(), line.size());
+    }
+  }
+
+ private:
+  // PIPE_BUF of Linux.
+  static constexpr size_t kLongestLine = 4096;
+
+  log4cxx::LayoutPtr lines_;
+};
+
 }  // namespace
 
 std::string FormatEvent(LogFormat format, std::string_view instance,
@@ -69,8 +103,7 @@
           ? "{\"time\":\"%d{ISO8601}\",\"level\":\"%p\",\"log\":%m}%n"
           : "time=%d{yyyy-MM-ddTHH:mm:ss.SSS} level=%p %m%n";
   log4cxx::LayoutPtr layout(new log4cxx::PatternLayout(pattern));
-  log4cxx::AppenderPtr appender(new log4cxx::ConsoleAppender(
-      layout, log4cxx::ConsoleAppender::getSystemErr()));
+  log4cxx::AppenderPtr appender(new OutputAppender(layout));
   logger_->removeAllAppenders();
   logger_->setAdditivity(false);
   logger_->addAppender(appender);
--- /dev/null
+++ b/packages/request/src/hop_message.cc
@@ -0,0 +1,184 @@
+#include "kumquatvalve/request/hop_message.h"
+
+#include <netinet/in.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <concepts>
+
+namespace kumquatvalve::request {
+namespace {
+
+// First byte of every message; a later layout takes another value.
+constexpr uint8_t kLayout = 0xC1;
+
+constexpr uint8_t kProbeFlag = 1U << 0;
+constexpr uint8_t kDrainingFlag = 1U << 1;
+constexpr uint8_t kUnresponsiveFlag = 1U << 2;
+
+class Writer {
+ public:
+  explicit Writer(HopBuffer* buf) : buf_(buf) {}
+
+  template <std::unsigned_integral T>
+  void Put(T value) {
+    for (size_t i = sizeof(T); i-- > 0;) {
+      buf_->bytes[buf_->size++] =
+          static_cast<std::byte>(static_cast<uint64_t>(value) >> (8 * i));
+    }
+  }
+
+  void Put(const Endpoint& endpoint) {
+    for (const uint8_t it : endpoint.address) {
+      Put(it);
+    }
+    Put(endpoint.port);
+  }
+
+ private:
+  HopBuffer* buf_;
+};
+
+class Reader {
+ public:
+  explicit Reader(std::span<const std::byte> bytes) : bytes_(bytes) {}
+
+  template <std::unsigned_integral T>
+  T Get() {
+    uint64_t value = 0;
+    for (size_t i = 0; i < sizeof(T); ++i) {
+      value = value << 8 | Next();
+    }
+    return static_cast<T>(value);
+  }
+
+  Endpoint GetEndpoint() {
+    Endpoint endpoint;
+    for (uint8_t& it : endpoint.address) {
+      it = Get<uint8_t>();
+    }
+    endpoint.port = Get<uint16_t>();
+    return endpoint;
+  }
+
+  bool ok() const { return ok_; }
+  std::span<const std::byte> rest() const { return bytes_.subspan(at_); }
+
+ private:
+  uint8_t Next() {
+    if (at_ >= bytes_.size()) {
+      ok_ = false;
+      return 0;
+    }
+    return static_cast<uint8_t>(bytes_[at_++]);
+  }
+
+  std::span<const std::byte> bytes_;
+  size_t at_ = 0;
+  bool ok_ = true;
+};
+
+bool NamesFlow(HopKind kind) {
+  return kind == HopKind::kLocate || kind == HopKind::kHeld ||
+         kind == HopKind::kNotHeld || kind == HopKind::kUnsure;
+}
+
+bool CarriesPacket(HopKind kind) {
+  return kind == HopKind::kPacket || kind == HopKind::kReturned;
+}
+
+uint8_t FlagsOf(const HopMessage& message) {
+  return (message.probe ? kProbeFlag : 0) |
+         (message.load.draining ? kDrainingFlag : 0) |
+         (message.load.unresponsive ? kUnresponsiveFlag : 0);
+}
+
+}  // namespace
+
+ServiceTag ServiceTagOf(std::string_view name) {
+  return {XXH64(name.data(), name.size(), 0)};
+}
+
+std::string_view Name(ReturnReason reason) {
+  switch (reason) {
+    case ReturnReason::kNone:
+      return "none";
+    case ReturnReason::kDraining:
+      return "draining";
+    case ReturnReason::kUnresponsive:
+      return "unresponsive";
+    case ReturnReason::kRejected:
+      return "rejected";
+    case ReturnReason::kWrongService:
+      return "wrong_service";
+    case ReturnReason::kQueueFull:
+      return "queue_full";
+  }
+  return "unknown";
+}
+
+HopBuffer EncodeHopMessage(const HopMessage& message) {
+  HopBuffer buf;
+  Writer writer(&buf);
+  writer.Put(kLayout);
+  writer.Put(static_cast<uint8_t>(message.kind));
+  writer.Put(FlagsOf(message));
+  writer.Put(static_cast<uint8_t>(message.reason));
+  writer.Put(message.service.value);
+  if (NamesFlow(message.kind)) {
+    writer.Put(message.flow.caller);
+    writer.Put(message.flow.service);
+    writer.Put(message.acknowledgment);
+  }
+  if (message.kind == HopKind::kLoad) {
+    writer.Put(message.load.boot_ms);
+    writer.Put(message.load.slots);
+    writer.Put(message.load.in_progress);
+    writer.Put(message.load.opening);
+    writer.Put(message.load.open_flows);
+    writer.Put(message.load.service_time_us);
+  }
+  return buf;
+}
+
+std::optional<HopMessage> DecodeHopMessage(std::span<const std::byte> datagram,
+                                           std::span<const std::byte>* packet,
+                                           Failure* failure) {
+  Reader reader(datagram);
+  const auto layout = reader.Get<uint8_t>();
+  HopMessage message;
+  message.kind = static_cast<HopKind>(reader.Get<uint8_t>());
+  const auto flags = reader.Get<uint8_t>();
+  message.reason = static_cast<ReturnReason>(reader.Get<uint8_t>());
+  message.service.value = reader.Get<uint64_t>();
+  message.probe = (flags & kProbeFlag) != 0;
+  if (NamesFlow(message.kind)) {
+    message.flow.caller = reader.GetEndpoint();
+    message.flow.service = reader.GetEndpoint();
+    message.flow.protocol = IPPROTO_TCP;
+    message.acknowledgment = reader.Get<uint32_t>();
+  }
+  if (message.kind == HopKind::kLoad) {
+    message.load.boot_ms = reader.Get<uint64_t>();
+    message.load.slots = reader.Get<uint16_t>();
+    message.load.in_progress = reader.Get<uint16_t>();
+    message.load.opening = reader.Get<uint16_t>();
+    message.load.open_flows = reader.Get<uint32_t>();
+    message.load.service_time_us = reader.Get<uint32_t>();
+    message.load.draining = (flags & kDrainingFlag) != 0;
+    message.load.unresponsive = (flags & kUnresponsiveFlag) != 0;
+  }
+  const bool known =
+      message.kind >= HopKind::kPacket && message.kind <= HopKind::kLoad;
+  if (!reader.ok() || layout != kLayout || !known ||
+      (!CarriesPacket(message.kind) && !reader.rest().empty())) {
+    *failure = {ResultCode::kBadMessage, "a datagram of " +
+                                             std::to_string(datagram.size()) +
+                                             " bytes is no hop message"};
+    return std::nullopt;
+  }
+  *packet = reader.rest();
+  return message;
+}
+
+}  // namespace kumquatvalve::request
--- /dev/null
+++ b/packages/version/src/node_settings.cc
@@ -0,0 +1,122 @@
+#include "kumquatvalve/version/node_settings.h"
+
+#include <array>
+
+#include "kumquatvalve/version/settings_schema.h"
+
+namespace kumquatvalve::version {
+namespace {
+
+using Type = SettingType;
+
+constexpr auto kNodeSchema = std::to_array<SettingSchema>({
+    {.key = "role",
+     .type = Type::kChoice,
+     .required = true,
+     .choices = "entry|sidecar",
+     .doc = "What the process does."},
+    {.key = "instance",
+     .type = Type::kText,
+     .required = true,
+     .doc = "Name of the instance, unique in the fleet."},
+    {.key = "availability_zone",
+     .type = Type::kText,
+     .required = true,
+     .doc = "Availability zone of the instance."},
+    {.key = "packets",
+     .type = Type::kEndpoint,
+     .required = true,
+     .doc = "Takes packets from the routers (entry) or from entry instances "
+            "(sidecar), UDP. Hosts of callers take packets at the same port."},
+    {.key = "hops",
+     .type = Type::kEndpoint,
+     .required = true,
+     .only_for_role = "entry",
+     .doc = "Takes messages of sidecars, UDP."},
+    {.key = "status",
+     .type = Type::kEndpoint,
+     .required = true,
+     .doc = "Serves /metrics, /healthz, /readyz and /status, HTTP."},
+    {.key = "store",
+     .type = Type::kUrl,
+     .required = true,
+     .doc = "Base address of the store."},
+    {.key = "upstream.packets",
+     .type = Type::kEndpoint,
+     .required = true,
+     .only_for_role = "sidecar",
+     .doc = "Where the upstream takes packets, UDP."},
+    {.key = "upstream.outbound",
+     .type = Type::kEndpoint,
+     .required = true,
+     .only_for_role = "sidecar",
+     .doc = "Takes the packets that the upstream sends, UDP."},
+    {.key = "upstream.announce",
+     .type = Type::kEndpoint,
+     .required = true,
+     .only_for_role = "sidecar",
+     .doc = "Takes the upstream's heartbeats, HTTP."},
+    {.key = "upstream.service",
+     .type = Type::kText,
+     .required = true,
+     .only_for_role = "sidecar",
+     .doc = "Service of the upstream until it names one itself."},
+    {.key = "log_level",
+     .type = Type::kChoice,
+     .default_text = "info",
+     .choices = "debug|info|warning|error",
+     .doc = "Least level that is logged."},
+    {.key = "stop_timeout_s",
+     .type = Type::kInteger,
+     .default_text = "6",
+     .least = 1,
+     .most = 3600,
+     .doc = "Longest time from a termination signal to the end, s."},
+});
+
+}  // namespace
+
+std::optional<NodeSettings> ParseNodeSettings(
+    const std::string& text, const std::string& file,
+    std::vector<SettingsError>* errors) {
+  const auto root = ParseYaml(text, file, errors);
+  if (!root) {
+    return std::nullopt;
+  }
+  const auto reader =
+      SettingsReader::Check(*root, kNodeSchema, file, "", errors);
+  if (!reader) {
+    return std::nullopt;
+  }
+  NodeSettings settings;
+  settings.role =
+      reader->Text("role") == "entry" ? Role::kEntry : Role::kSidecar;
+  settings.instance = request::InstanceName(reader->Text("instance"));
+  settings.availability_zone =
+      request::AvailabilityZone(reader->Text("availability_zone"));
+  settings.packets = reader->Endpoint("packets");
+  settings.status = reader->Endpoint("status");
+  settings.store_url = reader->Text("store");
+  settings.log_level = reader->Text("log_level");
+  settings.stop_timeout =
+      std::chrono::seconds(reader->Integer("stop_timeout_s"));
+  if (settings.role == Role::kEntry) {
+    settings.hops = reader->Endpoint("hops");
+    return settings;
+  }
+  NodeUpstreamSettings upstream;
+  upstream.packets = reader->Endpoint("upstream.packets");
+  upstream.outbound = reader->Endpoint("upstream.outbound");
+  upstream.announce = reader->Endpoint("upstream.announce");
+  upstream.service = request::ServiceName(reader->Text("upstream.service"));
+  settings.upstream = upstream;
+  return settings;
+}
+
+std::optional<NodeSettings> LoadNodeSettings(
+    const std::string& file, std::vector<SettingsError>* errors) {
+  const auto text = ReadSettingsFile(file, errors);
+  return text ? ParseNodeSettings(*text, file, errors) : std::nullopt;
+}
+
+}  // namespace kumquatvalve::version
