Wait at most 2.5 s in one watch of the desired state

Keep-alive probes did not end the connection: it lived, the store had forgotten the watch.

Change: a watch of the desired state waits 2.5 s, one of the upstream records 5 s.

Conclusion: the bound of the desired state no longer depends on the store ending a watch.

--- /dev/null
+++ b/packages/connection/test/entry_router_test.cc
@@ -0,0 +1,370 @@
+#include "kumquatvalve/connection/entry_router.h"
+
+#include <netinet/in.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace kumquatvalve::connection {
+namespace {
+
+using request::HopKind;
+using request::ReturnReason;
+using std::chrono::milliseconds;
+
+request::Endpoint At(const std::string& text) {
+  request::Failure failure;
+  return *request::ParseEndpoint(text, &failure);
+}
+
+const request::Endpoint kAddress = At("198.18.0.1:443");
+
+struct Sent {
+  request::Endpoint to;
+  request::HopMessage message;
+  std::vector<std::byte> packet;
+};
+
+// Packets are kept by an index that stands in their first byte, so that the
+// sink can read them again.
+struct Sink {
+  void Send(const request::Endpoint& to, const request::HopMessage& message,
+            std::span<const std::byte> packet) {
+    sent.push_back({to, message, {packet.begin(), packet.end()}});
+  }
+  void Reset(const request::ParsedPacket& packet) {
+    resets.push_back(packet.flow);
+  }
+  std::optional<request::ParsedPacket> Parse(
+      std::span<const std::byte> packet) {
+    return packets.at(static_cast<size_t>(packet.front()));
+  }
+  void Decided(const EntryDecision& decision) {
+    verdicts.push_back(decision.verdict);
+  }
+
+  std::vector<Sent> Of(HopKind kind) const {
+    std::vector<Sent> found;
+    std::copy_if(sent.begin(), sent.end(), std::back_inserter(found),
+                 [&](const Sent& it) { return it.message.kind == kind; });
+    return found;
+  }
+
+  std::vector<Sent> sent;
+  std::vector<request::FlowKey> resets;
+  std::vector<request::ParsedPacket> packets;
+  std::vector<EntryVerdict> verdicts;
+};
+
+version::UpstreamRecord Record(int i, const std::string& zone,
+                               const std::string& service = "patio") {
+  version::UpstreamRecord record;
+  record.sidecar = At("10.0.0." + std::to_string(i) + ":8172");
+  record.service = request::ServiceName(service);
+  record.zone = request::AvailabilityZone(zone);
+  record.instance = "i-" + std::to_string(i);
+  record.boot_ms = 1000;
+  record.slots = 4;
+  return record;
+}
+
+std::shared_ptr<version::RouteMap> Routes(
+    uint64_t revision, const std::string& service = "patio") {
+  auto map = std::make_shared<version::RouteMap>();
+  map->revision = revision;
+  version::Route route;
+  route.name = "r";
+  route.shares = {
+      {request::ServiceName(service), request::ServiceTagOf(service), 1}};
+  route.timeout = milliseconds(1000);
+  map->routes[kAddress] = route;
+  return map;
+}
+
+struct Fixture {
+  Fixture() {
+    router.OnRoutes(Routes(1));
+    records = {Record(1, "a"), Record(2, "a"), Record(3, "b")};
+    router.OnUpstreams(records, now);
+    for (int i = 1; i <= 3; ++i) {
+      Report(i, {});
+    }
+  }
+
+  request::ParsedPacket Make(uint16_t port) {
+    request::ParsedPacket packet;
+    packet.flow = {{At("100.64.0.7:1").address, port}, kAddress, IPPROTO_TCP};
+    packet.sequence = 77;
+    return packet;
+  }
+  void Feed(request::ParsedPacket packet) {
+    const auto index = static_cast<std::byte>(sink.packets.size());
+    bytes.push_back(std::make_unique<std::vector<std::byte>>(36, index));
+    packet.bytes = *bytes.back();
+    sink.packets.push_back(packet);
+    router.OnCallerPacket(packet, now);
+  }
+  void Syn(uint16_t port, uint32_t copy = 0) {
+    auto packet = Make(port);
+    packet.syn = true;
+    packet.acknowledgment = copy;
+    Feed(packet);
+  }
+  void Data(uint16_t port) {
+    auto packet = Make(port);
+    packet.ack = true;
+    packet.acknowledgment = 501;
+    packet.payload_size = 100;
+    Feed(packet);
+  }
+  void Message(int from, HopKind kind, uint16_t port = 0,
+               ReturnReason reason = ReturnReason::kNone,
+               std::vector<std::byte> packet = {}) {
+    request::HopMessage message;
+    message.kind = kind;
+    message.service = request::ServiceTagOf("patio");
+    message.reason = reason;
+    message.flow = Make(port).flow;
+    router.OnHopMessage(Record(from, "a").sidecar, message, packet, now);
+  }
+  void Report(int from, request::UpstreamLoad load,
+              const char* service = "patio") {
+    request::HopMessage message;
+    message.kind = HopKind::kLoad;
+    message.service = request::ServiceTagOf(service);
+    message.load = load;
+    message.load.slots = 4;
+    message.load.service_time_us = 30000;
+    router.OnHopMessage(Record(from, "a").sidecar, message, {}, now);
+  }
+  // Sidecars answer greetings; those in `silent` do not.
+  void Wait(milliseconds time, const std::set<int>& silent = {}) {
+    for (const TimePoint end = now + time; now < end;) {
+      now += milliseconds(50);
+      for (int i = 1; i <= 3; ++i) {
+        if (silent.count(i) == 0) {
+          Report(i, {});
+        }
+      }
+      router.OnTick(now);
+    }
+  }
+  Sent Last() const { return sink.Of(HopKind::kPacket).back(); }
+
+  Sink sink;
+  TimePoint now{std::chrono::hours(1)};
+  std::vector<version::UpstreamRecord> records;
+  std::vector<std::unique_ptr<std::vector<std::byte>>> bytes;
+  EntryRouter<Sink> router{{request::AvailabilityZone("a"), 1000, 1}, &sink};
+};
+
+TEST_CASE("entry_router: packets of a flow follow its first packet") {
+  Fixture f;
+  f.Syn(1);
+  const auto holder = f.Last().to;
+  f.Data(1);
+  f.Data(1);
+  CHECK(f.sink.Of(HopKind::kPacket).size() == 3);
+  CHECK(f.Last().to == holder);
+  CHECK(f.sink.Of(HopKind::kLocate).empty());
+}
+
+TEST_CASE("entry_router: an address without a route is reset at once") {
+  Fixture f;
+  auto packet = f.Make(1);
+  packet.flow.service.port = 444;
+  packet.syn = true;
+  f.Feed(packet);
+  CHECK(f.sink.resets.size() == 1);
+  CHECK(f.sink.Of(HopKind::kPacket).empty());
+}
+
+TEST_CASE("entry_router: a removed route ends its open flows") {
+  Fixture f;
+  f.Syn(1);
+  f.Data(1);
+  auto empty = std::make_shared<version::RouteMap>();
+  empty->revision = 2;
+  f.router.OnRoutes(empty);
+  const size_t before = f.sink.Of(HopKind::kPacket).size();
+  f.Data(1);
+  CHECK(f.sink.resets.size() == 1);
+  CHECK(f.sink.Of(HopKind::kPacket).size() == before);
+}
+
+TEST_CASE("entry_router: an older version of the routes is ignored") {
+  Fixture f;
+  CHECK(f.router.OnRoutes(Routes(5, "evidencia")));
+  CHECK_FALSE(f.router.OnRoutes(Routes(4, "patio")));
+  CHECK(f.router.routes()->revision == 5);
+}
+
+TEST_CASE("entry_router: a returned first packet goes to another upstream") {
+  Fixture f;
+  f.Syn(1);
+  const Sent first = f.Last();
+  f.router.OnHopMessage(first.to,
+                        {.kind = HopKind::kReturned,
+                         .service = request::ServiceTagOf("patio"),
+                         .reason = ReturnReason::kDraining},
+                        first.packet, f.now);
+  CHECK(f.Last().to != first.to);
+  CHECK(f.sink.resets.empty());
+  // The upstream that returned it gets no further flow.
+  for (uint16_t i = 10; i < 30; ++i) {
+    f.Syn(i);
+    CHECK(f.Last().to != first.to);
+  }
+}
+
+TEST_CASE("entry_router: a flow that no upstream takes is reset at once") {
+  Fixture f;
+  f.Syn(1);
+  for (int i = 0; i < 3; ++i) {
+    const Sent last = f.Last();
+    f.router.OnHopMessage(last.to,
+                          {.kind = HopKind::kReturned,
+                           .service = request::ServiceTagOf("patio"),
+                           .reason = ReturnReason::kRejected},
+                          last.packet, f.now);
+  }
+  CHECK(f.sink.resets.size() == 1);
+  CHECK(f.sink.verdicts.back() == EntryVerdict::kNotTaken);
+}
+
+TEST_CASE(
+    "entry_router: the holder of a flow that another instance placed is "
+    "found") {
+  Fixture f;
+  f.Data(1);
+  f.Data(1);
+  CHECK(f.sink.Of(HopKind::kLocate).size() == 3);
+  CHECK(f.sink.Of(HopKind::kPacket).empty());
+  f.Message(1, HopKind::kNotHeld, 1);
+  f.Message(2, HopKind::kHeld, 1);
+  CHECK(f.sink.Of(HopKind::kPacket).size() == 2);
+  CHECK(f.Last().to == Record(2, "a").sidecar);
+  f.Data(1);
+  CHECK(f.Last().to == Record(2, "a").sidecar);
+  CHECK(f.sink.Of(HopKind::kLocate).size() == 3);
+}
+
+TEST_CASE(
+    "entry_router: a flow that nobody holds is neither reset nor tried at "
+    "upstreams") {
+  Fixture f;
+  f.Data(1);
+  for (int i = 1; i <= 3; ++i) {
+    f.Message(i, HopKind::kNotHeld, 1);
+  }
+  f.Wait(milliseconds(200));
+  CHECK(f.sink.resets.empty());
+  CHECK(f.sink.Of(HopKind::kPacket).empty());
+  CHECK(f.sink.verdicts.back() == EntryVerdict::kNotLocated);
+}
+
+TEST_CASE(
+    "entry_router: only upstreams beside restarted sidecars are probed, and "
+    "only when no sidecar knows the flow") {
+  Fixture f;
+  f.Data(1);
+  f.Message(1, HopKind::kNotHeld, 1);
+  f.Message(2, HopKind::kUnsure, 1);
+  CHECK(f.sink.Of(HopKind::kPacket).empty());
+  f.Message(3, HopKind::kNotHeld, 1);
+  REQUIRE(f.sink.Of(HopKind::kPacket).size() == 1);
+  CHECK(f.Last().to == Record(2, "a").sidecar);
+  CHECK(f.Last().message.probe);
+  f.Message(2, HopKind::kHeld, 1);
+  CHECK(f.sink.Of(HopKind::kPacket).size() == 1);
+}
+
+TEST_CASE("entry_router: a silent sidecar does not stop the search") {
+  Fixture f;
+  f.Data(1);
+  f.Message(2, HopKind::kUnsure, 1);
+  f.Wait(milliseconds(200));
+  REQUIRE(f.sink.Of(HopKind::kPacket).size() == 1);
+  CHECK(f.Last().to == Record(2, "a").sidecar);
+}
+
+TEST_CASE(
+    "entry_router: a copy of a first packet goes elsewhere when the first "
+    "sidecar is silent, and the caller's choice is asked for") {
+  Fixture f;
+  f.Syn(1);
+  const Sent first = f.Last();
+  const std::set<int> silent = {first.to == Record(1, "a").sidecar ? 1 : 2};
+  f.Wait(milliseconds(600), silent);
+  f.Syn(1, 1);
+  CHECK(f.Last().to != first.to);
+  f.Data(1);
+  CHECK(f.sink.Of(HopKind::kLocate).size() == 3);
+}
+
+TEST_CASE("entry_router: a silent sidecar gets no new flow while others do") {
+  Fixture f;
+  f.Syn(1);
+  f.Syn(2);
+  f.Wait(milliseconds(600), {1, 2});
+  f.Syn(3);
+  CHECK(f.Last().to == Record(3, "b").sidecar);
+  // When all are silent the reports may be lost: flows are placed all the same.
+  f.Wait(milliseconds(2000), {1, 2, 3});
+  const size_t before = f.sink.Of(HopKind::kPacket).size();
+  f.Syn(4);
+  CHECK(f.sink.Of(HopKind::kPacket).size() == before + 1);
+  CHECK(f.sink.resets.empty());
+}
+
+TEST_CASE(
+    "entry_router: a draining upstream gets no flow, not even as the last") {
+  Fixture f;
+  for (auto& it : f.records) {
+    it.draining = true;
+  }
+  f.router.OnUpstreams(f.records, f.now);
+  f.Syn(1);
+  CHECK(f.sink.Of(HopKind::kPacket).empty());
+  CHECK(f.sink.resets.size() == 1);
+}
+
+TEST_CASE(
+    "entry_router: an address that reports another service gets no flow of "
+    "the old one") {
+  Fixture f;
+  f.Report(1, {}, "evidencia");
+  for (uint16_t i = 1; i < 20; ++i) {
+    f.Syn(i);
+    CHECK(f.Last().to != Record(1, "a").sidecar);
+  }
+}
+
+TEST_CASE(
+    "entry_router: flows of a service that a route left are still found") {
+  Fixture f;
+  f.records.push_back(Record(4, "a", "evidencia"));
+  f.router.OnUpstreams(f.records, f.now);
+  f.router.OnRoutes(Routes(2, "evidencia"));
+  f.Data(1);
+  CHECK(f.sink.Of(HopKind::kLocate).size() == 4);
+}
+
+TEST_CASE("entry_router: a port that is used again opens a new flow") {
+  Fixture f;
+  f.Syn(1);
+  f.Data(1);
+  auto packet = f.Make(1);
+  packet.syn = true;
+  packet.sequence = 990077;
+  f.Feed(packet);
+  CHECK(std::count(f.sink.verdicts.begin(), f.sink.verdicts.end(),
+                   EntryVerdict::kPlaced) == 2);
+}
+
+}  // namespace
+}  // namespace kumquatvalve::connection
--- /dev/null
+++ b/packages/connection/test/placement_test.cc
@@ -0,0 +1,238 @@
+#include "kumquatvalve/connection/placement.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <queue>
+#include <random>
+#include <vector>
+
+namespace kumquatvalve::connection {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+PlacementCandidate Candidate(double in_progress, bool same_zone = true,
+                             milliseconds service_time = milliseconds(30)) {
+  PlacementCandidate candidate;
+  candidate.slots = 4;
+  candidate.in_progress = in_progress;
+  candidate.service_time = service_time;
+  candidate.same_zone = same_zone;
+  return candidate;
+}
+
+constexpr PlacementSettings kSettings{.zone_cost = milliseconds(12)};
+
+TEST_CASE("placement: nothing is chosen among no candidates") {
+  CHECK_FALSE(ChooseUpstream({}, kSettings, 1).chosen);
+}
+
+TEST_CASE("placement: a free upstream of the own zone is preferred") {
+  const std::vector<PlacementCandidate> candidates = {Candidate(0, false),
+                                                      Candidate(1)};
+  CHECK(ChooseUpstream(candidates, kSettings, 1).chosen == 1);
+}
+
+TEST_CASE("placement: a queue in the own zone is worth the way to another") {
+  const std::vector<PlacementCandidate> candidates = {Candidate(0, false),
+                                                      Candidate(8)};
+  CHECK(ChooseUpstream(candidates, kSettings, 1).chosen == 0);
+}
+
+TEST_CASE("placement: nothing is chosen when every wait is too long") {
+  PlacementSettings settings = kSettings;
+  settings.longest_wait = milliseconds(50);
+  const std::vector<PlacementCandidate> candidates = {Candidate(40),
+                                                      Candidate(60)};
+  const Placement placement = ChooseUpstream(candidates, settings, 1);
+  CHECK_FALSE(placement.chosen);
+  CHECK(placement.wait > milliseconds(50));
+}
+
+TEST_CASE("placement: ties are spread") {
+  const std::vector<PlacementCandidate> candidates(4, Candidate(0));
+  std::vector<int> chosen(candidates.size());
+  for (uint64_t i = 0; i < 4000; ++i) {
+    ++chosen[*ChooseUpstream(candidates, kSettings, i * 7919).chosen];
+  }
+  for (const int it : chosen) {
+    CHECK(it > 800);
+  }
+}
+
+// A replay of load on the upstreams of one service, with full knowledge of the
+// work in progress. Requests wait in the queue of their upstream.
+class Replay {
+ public:
+  using Rule = std::function<size_t(const std::vector<PlacementCandidate>&,
+                                    size_t zone, uint64_t random)>;
+  struct Upstream {
+    size_t zone;
+    double slowdown = 1;
+  };
+
+  Replay(std::vector<Upstream> upstreams, Rule rule)
+      : upstreams_(std::move(upstreams)),
+        rule_(std::move(rule)),
+        free_at_(upstreams_.size(), std::vector<double>(kSlots, 0.0)),
+        running_(upstreams_.size()) {}
+
+  // One request of `work_ms` that enters in `zone`.
+  void Arrive(double now_ms, size_t zone, double work_ms, uint64_t random) {
+    std::vector<PlacementCandidate> candidates;
+    for (size_t i = 0; i < upstreams_.size(); ++i) {
+      auto& running = running_[i];
+      while (!running.empty() && running.top() <= now_ms) {
+        running.pop();
+      }
+      PlacementCandidate candidate;
+      candidate.slots = kSlots;
+      candidate.in_progress = static_cast<double>(running.size());
+      candidate.service_time = microseconds(
+          static_cast<int64_t>(kMeanWorkMs * 1000 * upstreams_[i].slowdown));
+      candidate.same_zone = upstreams_[i].zone == zone;
+      candidates.push_back(candidate);
+    }
+    const size_t i = rule_(candidates, zone, random);
+    auto slot = std::min_element(free_at_[i].begin(), free_at_[i].end());
+    const double end =
+        std::max(*slot, now_ms) + work_ms * upstreams_[i].slowdown;
+    *slot = end;
+    running_[i].push(end);
+    latencies_.push_back(end - now_ms);
+    crossed_ += upstreams_[i].zone == zone ? 0 : 1;
+  }
+
+  // Latency in milliseconds that this share of the requests stays below.
+  double Latency(double share) {
+    std::sort(latencies_.begin(), latencies_.end());
+    return latencies_[static_cast<size_t>(
+        share * static_cast<double>(latencies_.size() - 1))];
+  }
+  double Crossed() const {
+    return static_cast<double>(crossed_) /
+           static_cast<double>(latencies_.size());
+  }
+
+  static constexpr int kSlots = 4;
+  static constexpr double kMeanWorkMs = 28;
+
+ private:
+  std::vector<Upstream> upstreams_;
+  Rule rule_;
+  std::vector<std::vector<double>> free_at_;
+  std::vector<std::priority_queue<double, std::vector<double>, std::greater<>>>
+      running_;
+  std::vector<double> latencies_;
+  size_t crossed_ = 0;
+};
+
+size_t ByCost(const std::vector<PlacementCandidate>& candidates, size_t,
+              uint64_t random) {
+  return *ChooseUpstream(candidates, kSettings, random).chosen;
+}
+
+// The rule before: the least loaded upstream of the own zone.
+size_t OwnZone(const std::vector<PlacementCandidate>& candidates, size_t,
+               uint64_t) {
+  size_t best = candidates.size();
+  for (size_t i = 0; i < candidates.size(); ++i) {
+    if (candidates[i].same_zone &&
+        (best == candidates.size() ||
+         candidates[i].in_progress < candidates[best].in_progress)) {
+      best = i;
+    }
+  }
+  return best;
+}
+
+// The least loaded upstream anywhere, without regard to zone and speed.
+size_t LeastLoaded(const std::vector<PlacementCandidate>& candidates, size_t,
+                   uint64_t) {
+  return static_cast<size_t>(
+      std::min_element(candidates.begin(), candidates.end(),
+                       [](const auto& a, const auto& b) {
+                         return a.in_progress < b.in_progress;
+                       }) -
+      candidates.begin());
+}
+
+const std::vector<Replay::Upstream> kSeven = {{0}, {0}, {1}, {1},
+                                              {2}, {2}, {3}};
+
+// Callers of all zones, half of which move to zone 3 for a while.
+void PlayShift(Replay* replay) {
+  std::mt19937_64 random(7);
+  std::exponential_distribution<double> gap(0.33);
+  std::exponential_distribution<double> work(1 / Replay::kMeanWorkMs);
+  double now = 0;
+  for (int i = 0; i < 8000; ++i) {
+    now += gap(random);
+    const bool shifted = random() % 2 == 0;
+    const size_t zone = shifted ? 3 : random() % 4;
+    replay->Arrive(now, zone, work(random), random());
+  }
+}
+
+TEST_CASE(
+    "placement: callers that move to one zone do not queue there while others "
+    "have free slots") {
+  Replay by_cost(kSeven, ByCost);
+  Replay own_zone(kSeven, OwnZone);
+  PlayShift(&by_cost);
+  PlayShift(&own_zone);
+  INFO("p99 " << by_cost.Latency(0.99) << " ms, own zone only "
+              << own_zone.Latency(0.99) << " ms");
+  // The latency target of the short requests is 150 ms.
+  CHECK(by_cost.Latency(0.97) < 150);
+  CHECK(own_zone.Latency(0.97) > 150);
+}
+
+TEST_CASE(
+    "placement: an upstream that works five times slower gets little work") {
+  std::vector<Replay::Upstream> upstreams = kSeven;
+  upstreams[0].slowdown = 5;
+  Replay by_cost(upstreams, ByCost);
+  Replay least_loaded(upstreams, LeastLoaded);
+  const auto play = [](Replay* replay) {
+    std::mt19937_64 random(11);
+    std::exponential_distribution<double> gap(0.4);
+    std::exponential_distribution<double> work(1 / Replay::kMeanWorkMs);
+    double now = 0;
+    for (int i = 0; i < 8000; ++i) {
+      now += gap(random);
+      replay->Arrive(now, random() % 4, work(random), random());
+    }
+  };
+  play(&by_cost);
+  play(&least_loaded);
+  INFO("p98 " << by_cost.Latency(0.98) << " ms, least loaded "
+              << least_loaded.Latency(0.98) << " ms");
+  CHECK(by_cost.Latency(0.98) < 150);
+  CHECK(least_loaded.Latency(0.98) > 150);
+}
+
+TEST_CASE("placement: little work leaves its zone while every zone has room") {
+  Replay by_cost(kSeven, ByCost);
+  Replay least_loaded(kSeven, LeastLoaded);
+  const auto play = [](Replay* replay) {
+    std::mt19937_64 random(13);
+    std::exponential_distribution<double> gap(0.2);
+    std::exponential_distribution<double> work(1 / Replay::kMeanWorkMs);
+    double now = 0;
+    for (int i = 0; i < 8000; ++i) {
+      now += gap(random);
+      replay->Arrive(now, random() % 4, work(random), random());
+    }
+  };
+  play(&by_cost);
+  play(&least_loaded);
+  INFO("crossed " << by_cost.Crossed() << ", least loaded "
+                  << least_loaded.Crossed());
+  CHECK(by_cost.Crossed() < 0.5 * least_loaded.Crossed());
+}
+
+}  // namespace
+}  // namespace kumquatvalve::connection
--- /dev/null
+++ b/packages/connection/test/upstream_gate_test.cc
@@ -0,0 +1,296 @@
+#include "kumquatvalve/connection/upstream_gate.h"
+
+#include <netinet/in.h>
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace kumquatvalve::connection {
+namespace {
+
+using request::HopKind;
+using request::ReturnReason;
+using std::chrono::milliseconds;
+
+request::Endpoint At(const char* text) {
+  request::Failure failure;
+  return *request::ParseEndpoint(text, &failure);
+}
+
+const request::Endpoint kEntry = At("10.1.0.10:7720");
+const request::Endpoint kService = At("198.18.0.1:443");
+
+struct Sink {
+  void Deliver(std::span<const std::byte> /*packet*/) { ++delivered; }
+  void Answer(const request::Endpoint& /*caller*/,
+              std::span<const std::byte> /*packet*/) {
+    ++answered;
+  }
+  void Send(const request::Endpoint& /*to*/, const request::HopMessage& message,
+            std::span<const std::byte> /*packet*/) {
+    sent.push_back(message);
+  }
+  void Decided(const GateDecision& decision) { decisions.push_back(decision); }
+
+  const request::HopMessage& last(HopKind kind) const {
+    for (auto it = sent.rbegin(); it != sent.rend(); ++it) {
+      if (it->kind == kind) {
+        return *it;
+      }
+    }
+    FAIL("no message of kind " << static_cast<int>(kind));
+    return sent.front();
+  }
+  size_t count(HopKind kind) const {
+    return static_cast<size_t>(
+        std::count_if(sent.begin(), sent.end(),
+                      [&](const auto& it) { return it.kind == kind; }));
+  }
+
+  int delivered = 0;
+  int answered = 0;
+  std::vector<request::HopMessage> sent;
+  std::vector<GateDecision> decisions;
+};
+
+// The times at which an upstream and its sidecar started.
+constexpr uint64_t kSidecarStart = 1000;
+constexpr uint64_t kYoungUpstream = 2000;
+constexpr uint64_t kOldUpstream = 500;
+
+struct Fixture {
+  explicit Fixture(uint64_t boot_ms = kYoungUpstream) { Boot(boot_ms); }
+
+  void Boot(uint64_t boot_ms, bool draining = false) {
+    gate.OnIdentity({"patio", "i-1", boot_ms, 2, draining}, now);
+  }
+
+  static request::FlowKey Key(uint16_t port) {
+    return {{At("100.64.0.7:1").address, port}, kService, IPPROTO_TCP};
+  }
+
+  request::ParsedPacket Caller(uint16_t port) {
+    request::ParsedPacket packet;
+    packet.flow = Key(port);
+    packet.sequence = 77;
+    return packet;
+  }
+  request::ParsedPacket Syn(uint16_t port) {
+    auto packet = Caller(port);
+    packet.syn = true;
+    return packet;
+  }
+  request::ParsedPacket Data(uint16_t port, uint32_t acknowledgment = 501) {
+    auto packet = Caller(port);
+    packet.ack = true;
+    packet.acknowledgment = acknowledgment;
+    packet.payload_size = 100;
+    return packet;
+  }
+  request::ParsedPacket Upstream(uint16_t port) {
+    request::ParsedPacket packet;
+    packet.flow = request::Reverse(Key(port));
+    packet.ack = true;
+    packet.sequence = 501;
+    return packet;
+  }
+  request::ParsedPacket SynAck(uint16_t port) {
+    auto packet = Upstream(port);
+    packet.syn = true;
+    packet.sequence = 500;
+    return packet;
+  }
+  request::ParsedPacket AnswerData(uint16_t port) {
+    auto packet = Upstream(port);
+    packet.payload_size = 200;
+    return packet;
+  }
+
+  void FromCaller(const request::ParsedPacket& packet,
+                  const char* service = "patio") {
+    request::HopMessage message;
+    message.kind = HopKind::kPacket;
+    message.service = request::ServiceTagOf(service);
+    gate.OnCallerPacket(kEntry, message, packet, now);
+  }
+  void FromUpstream(const request::ParsedPacket& packet) {
+    gate.OnUpstreamPacket(packet, now);
+  }
+  void Locate(uint16_t port, uint32_t acknowledgment = 501) {
+    request::HopMessage message;
+    message.kind = HopKind::kLocate;
+    message.service = request::ServiceTagOf("patio");
+    message.flow = Key(port);
+    message.acknowledgment = acknowledgment;
+    gate.OnHopMessage(kEntry, message, now);
+  }
+  void Wait(milliseconds time) {
+    for (const TimePoint end = now + time; now < end;) {
+      now += milliseconds(50);
+      gate.OnTick(now);
+    }
+  }
+  void Open(uint16_t port) {
+    FromCaller(Syn(port));
+    FromUpstream(SynAck(port));
+  }
+
+  Sink sink;
+  TimePoint now{std::chrono::hours(1)};
+  UpstreamGate<Sink> gate{"patio", kSidecarStart, &sink};
+};
+
+TEST_CASE("upstream_gate: a packet for another service is not delivered") {
+  Fixture f;
+  f.FromCaller(f.Syn(1), "evidencia");
+  CHECK(f.sink.last(HopKind::kReturned).reason == ReturnReason::kWrongService);
+  f.FromCaller(f.Data(1), "evidencia");
+  CHECK(f.sink.count(HopKind::kNotHeld) == 1);
+  CHECK(f.sink.delivered == 0);
+}
+
+TEST_CASE(
+    "upstream_gate: the service that took over an address gets no packet of "
+    "the one before") {
+  Fixture f;
+  f.Open(1);
+  f.gate.OnIdentity({"evidencia", "i-2", kYoungUpstream + 5000, 2, false},
+                    f.now);
+  const int before = f.sink.delivered;
+  f.FromCaller(f.Data(1));
+  f.FromCaller(f.Syn(2));
+  CHECK(f.sink.delivered == before);
+}
+
+TEST_CASE(
+    "upstream_gate: a draining upstream keeps its flows and gets no new one") {
+  Fixture f;
+  f.Open(1);
+  f.Boot(kYoungUpstream, true);
+  CHECK(f.sink.last(HopKind::kLoad).load.draining);
+  const int before = f.sink.delivered;
+  f.FromCaller(f.Syn(2));
+  CHECK(f.sink.last(HopKind::kReturned).reason == ReturnReason::kDraining);
+  CHECK(f.sink.delivered == before);
+  f.FromCaller(f.Data(1));
+  CHECK(f.sink.delivered == before + 1);
+}
+
+TEST_CASE(
+    "upstream_gate: a rejected first packet goes back to its entry instance") {
+  Fixture f;
+  f.FromCaller(f.Syn(1));
+  f.gate.OnRejectedPacket(f.Syn(1), f.now);
+  CHECK(f.sink.last(HopKind::kReturned).reason == ReturnReason::kRejected);
+  CHECK(f.gate.flows() == 0);
+  CHECK(f.gate.load().opening == 0);
+}
+
+TEST_CASE(
+    "upstream_gate: a sidecar that restarted asks the upstream instead of "
+    "denying its flows") {
+  Fixture f(kOldUpstream);
+  f.Locate(1);
+  CHECK(f.sink.count(HopKind::kUnsure) == 1);
+  f.FromCaller(f.Data(1));
+  CHECK(f.sink.delivered == 1);
+  f.FromUpstream(f.Upstream(1));
+  CHECK(f.sink.count(HopKind::kHeld) == 1);
+  f.Locate(1);
+  CHECK(f.sink.count(HopKind::kHeld) == 2);
+}
+
+TEST_CASE("upstream_gate: a probe that the upstream rejects is a denial") {
+  Fixture f(kOldUpstream);
+  f.FromCaller(f.Data(1));
+  f.gate.OnRejectedPacket(f.Data(1), f.now);
+  CHECK(f.sink.count(HopKind::kNotHeld) == 1);
+  CHECK(f.gate.flows() == 0);
+}
+
+TEST_CASE(
+    "upstream_gate: a sidecar that saw every flow does not trouble the "
+    "upstream with unknown ones") {
+  Fixture f(kYoungUpstream);
+  f.FromCaller(f.Data(1));
+  CHECK(f.sink.delivered == 0);
+  CHECK(f.sink.count(HopKind::kNotHeld) == 1);
+  f.Locate(2);
+  CHECK(f.sink.count(HopKind::kNotHeld) == 2);
+}
+
+TEST_CASE(
+    "upstream_gate: a flow that the caller opened at another upstream is not "
+    "held here") {
+  Fixture f;
+  f.Open(1);
+  f.Locate(1, 901);
+  CHECK(f.sink.count(HopKind::kNotHeld) == 1);
+  const int before = f.sink.delivered;
+  f.FromCaller(f.Data(1, 901));
+  CHECK(f.sink.delivered == before);
+  CHECK(f.gate.flows() == 0);
+  CHECK(f.gate.load().opening == 0);
+}
+
+TEST_CASE("upstream_gate: a new boot holds no flow of the one before") {
+  Fixture f;
+  f.Open(1);
+  f.FromCaller(f.Data(1));
+  f.Boot(kYoungUpstream + 1);
+  CHECK(f.gate.flows() == 0);
+  CHECK(f.gate.load().in_progress == 0);
+  f.Locate(1);
+  CHECK(f.sink.count(HopKind::kNotHeld) == 1);
+}
+
+TEST_CASE(
+    "upstream_gate: work in progress lasts from the request to its answer") {
+  Fixture f;
+  f.Open(1);
+  CHECK(f.gate.load().opening == 1);
+  f.FromCaller(f.Data(1));
+  f.FromCaller(f.Data(1));
+  CHECK(f.gate.load().opening == 0);
+  CHECK(f.gate.load().in_progress == 1);
+  f.now += milliseconds(30);
+  f.FromUpstream(f.Upstream(1));
+  CHECK(f.gate.load().in_progress == 1);
+  f.FromUpstream(f.AnswerData(1));
+  CHECK(f.gate.load().in_progress == 0);
+  CHECK(f.gate.load().service_time_us == 30000);
+}
+
+TEST_CASE(
+    "upstream_gate: an upstream that stops answering gets one trial at a "
+    "time") {
+  Fixture f;
+  f.FromCaller(f.Syn(1));
+  f.Wait(milliseconds(200));
+  CHECK(f.gate.load().unresponsive);
+  const int before = f.sink.delivered;
+  f.FromCaller(f.Syn(2));
+  CHECK(f.sink.last(HopKind::kReturned).reason == ReturnReason::kUnresponsive);
+  f.Wait(milliseconds(400));
+  f.FromCaller(f.Syn(3));
+  f.FromCaller(f.Syn(4));
+  CHECK(f.sink.delivered == before + 1);
+  f.FromUpstream(f.SynAck(3));
+  CHECK_FALSE(f.gate.load().unresponsive);
+  f.FromCaller(f.Syn(5));
+  CHECK(f.sink.delivered == before + 2);
+}
+
+TEST_CASE("upstream_gate: load is reported to the entry instances in use") {
+  Fixture f;
+  f.FromCaller(f.Syn(1));
+  const size_t before = f.sink.count(HopKind::kLoad);
+  f.Wait(milliseconds(100));
+  CHECK(f.sink.count(HopKind::kLoad) > before);
+  CHECK(f.sink.last(HopKind::kLoad).load.opening == 1);
+}
+
+}  // namespace
+}  // namespace kumquatvalve::connection
--- a/packages/process/include/kumquatvalve/process/store_watcher.h
+++ b/packages/process/include/kumquatvalve/process/store_watcher.h
@@ -33,9 +33,15 @@
   };
 
   /// `api` must outlive the watcher.
-  StoreWatcher(A* api, std::string prefix, Listener listener, uint64_t seed)
+  /// @param watch_timeout how long one watch waits. A store that has dropped
+  ///   its history may leave a waiting watch without an answer, so this is
+  ///   also how late a change can be noticed.
+  StoreWatcher(A* api, std::string prefix,
+               std::chrono::milliseconds watch_timeout, Listener listener,
+               uint64_t seed)
       : api_(api),
         prefix_(std::move(prefix)),
+        watch_timeout_(watch_timeout),
         listener_(std::move(listener)),
         pause_(seed) {}
 
@@ -66,8 +72,6 @@
  private:
   using Milliseconds = std::chrono::milliseconds;
 
-  // A watch that waits counts as one call; a longer one costs less.
-  static constexpr Milliseconds kWatchTimeout{20000};
   // Changes that follow each other this closely are read together.
   static constexpr Milliseconds kGather{80};
 
@@ -88,7 +92,7 @@
   }
 
   bool Watch(request::Failure* failure) {
-    auto answer = api_->Watch(prefix_, since_, kWatchTimeout, failure);
+    auto answer = api_->Watch(prefix_, since_, watch_timeout_, failure);
     if (!answer) {
       return false;
     }
@@ -138,6 +142,7 @@
 
   A* api_;
   std::string prefix_;
+  std::chrono::milliseconds watch_timeout_;
   Listener listener_;
   RetryPause pause_;
   Objects objects_;
--- /dev/null
+++ b/packages/request/test/hop_message_test.cc
@@ -0,0 +1,79 @@
+#include "kumquatvalve/request/hop_message.h"
+
+#include <netinet/in.h>
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+namespace kumquatvalve::request {
+namespace {
+
+Endpoint At(const char* text) {
+  Failure failure;
+  return *ParseEndpoint(text, &failure);
+}
+
+HopMessage SampleOf(HopKind kind) {
+  HopMessage message;
+  message.kind = kind;
+  message.service = ServiceTagOf("order-desk");
+  message.flow = {At("100.64.0.7:40001"), At("198.18.0.1:443"), IPPROTO_TCP};
+  message.acknowledgment = 0xfedcba98;
+  message.load = {1700000000123, 4, 3, 2, 1999, 26000, true, true};
+  return message;
+}
+
+TEST_CASE("hop_message: every kind is read as it was written") {
+  for (int i = 1; i <= 8; ++i) {
+    const HopMessage message = SampleOf(static_cast<HopKind>(i));
+    const HopBuffer buf = EncodeHopMessage(message);
+    std::span<const std::byte> packet;
+    Failure failure;
+    const auto read = DecodeHopMessage(buf.span(), &packet, &failure);
+    REQUIRE(read);
+    CHECK(read->kind == message.kind);
+    CHECK(read->service == message.service);
+    CHECK(packet.empty());
+    if (read->kind == HopKind::kLocate) {
+      CHECK(read->flow == message.flow);
+      CHECK(read->acknowledgment == message.acknowledgment);
+    }
+    if (read->kind == HopKind::kLoad) {
+      CHECK(read->load == message.load);
+    }
+  }
+}
+
+TEST_CASE("hop_message: a packet follows only messages that carry one") {
+  const std::vector<std::byte> data(40, std::byte{7});
+  for (const auto kind : {HopKind::kPacket, HopKind::kHello}) {
+    const HopBuffer buf = EncodeHopMessage(SampleOf(kind));
+    std::vector<std::byte> datagram(buf.span().begin(), buf.span().end());
+    datagram.insert(datagram.end(), data.begin(), data.end());
+    std::span<const std::byte> packet;
+    Failure failure;
+    const auto read = DecodeHopMessage(datagram, &packet, &failure);
+    CHECK(read.has_value() == (kind == HopKind::kPacket));
+    if (read) {
+      CHECK(std::equal(packet.begin(), packet.end(), data.begin(), data.end()));
+    }
+  }
+}
+
+TEST_CASE("hop_message: a cut or foreign datagram is an error, not a message") {
+  const HopBuffer buf = EncodeHopMessage(SampleOf(HopKind::kLoad));
+  for (size_t n = 0; n < buf.size; ++n) {
+    std::span<const std::byte> packet;
+    Failure failure;
+    CHECK_FALSE(DecodeHopMessage(buf.span().first(n), &packet, &failure));
+    CHECK(failure.code == ResultCode::kBadMessage);
+  }
+  HopBuffer foreign = buf;
+  foreign.bytes[0] = std::byte{0x45};
+  std::span<const std::byte> packet;
+  Failure failure;
+  CHECK_FALSE(DecodeHopMessage(foreign.span(), &packet, &failure));
+}
+
+}  // namespace
+}  // namespace kumquatvalve::request
--- /dev/null
+++ b/packages/version/test/node_settings_test.cc
@@ -0,0 +1,69 @@
+#include "kumquatvalve/version/node_settings.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+namespace kumquatvalve::version {
+namespace {
+
+using request::ResultCode;
+
+const std::string kEntry = R"(role: entry
+instance: "front-a-1"
+availability_zone: "a"
+packets: "127.0.0.1:7001"
+hops: "127.0.0.1:7002"
+status: "127.0.0.1:7003"
+store: "http://127.0.0.1:7004"
+stop_timeout_s: 6
+)";
+
+const std::string kSidecar = R"(role: sidecar
+instance: "side-a-1"
+availability_zone: "a"
+packets: "127.0.0.1:7001"
+status: "127.0.0.1:7003"
+store: "http://127.0.0.1:7004"
+upstream:
+  packets: "127.0.0.1:7005"
+  outbound: "127.0.0.1:7006"
+  announce: "127.0.0.1:7007"
+  service: "patio"
+)";
+
+std::vector<SettingsError> ErrorsOf(const std::string& text) {
+  std::vector<SettingsError> errors;
+  CHECK_FALSE(ParseNodeSettings(text, "node.yaml", &errors));
+  return errors;
+}
+
+TEST_CASE("node_settings: both roles are read") {
+  std::vector<SettingsError> errors;
+  const auto entry = ParseNodeSettings(kEntry, "node.yaml", &errors);
+  REQUIRE(entry);
+  CHECK(entry->role == Role::kEntry);
+  CHECK(entry->hops.port == 7002);
+  CHECK(entry->stop_timeout == std::chrono::seconds(6));
+  const auto sidecar = ParseNodeSettings(kSidecar, "node.yaml", &errors);
+  REQUIRE(sidecar);
+  REQUIRE(sidecar->upstream);
+  CHECK(sidecar->upstream->service.text() == "patio");
+  CHECK(sidecar->upstream->announce.port == 7007);
+}
+
+TEST_CASE("node_settings: an unknown key names its line") {
+  const auto errors = ErrorsOf(kEntry + "color: red\n");
+  REQUIRE(errors.size() == 1);
+  CHECK(errors[0].code == ResultCode::kUnknownKey);
+  CHECK(errors[0].line == 9);
+}
+
+TEST_CASE("node_settings: a missing or wrong value is an error") {
+  CHECK(ErrorsOf("role: entry\n").front().code == ResultCode::kMissingKey);
+  std::string text = kEntry;
+  text.replace(text.find("7002"), 4, "port");
+  CHECK(ErrorsOf(text).front().code != ResultCode::kOk);
+}
+
+}  // namespace
+}  // namespace kumquatvalve::version
