Reset flows that no upstream holds; refuse nothing before the upstreams are known

An entry instance that had its routes but not yet its upstreams refused callers with no_upstream (front-gye-duran-1 at 36.431 s).

Change: when every sidecar of the service denies a flow twice within half a second or more, with unchanged upstream records and a store that answers, the caller is reset. A sidecar resets a flow that it knew to be open when its upstream returns a packet of it. Packets are dropped until the upstreams are known.

--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -46,14 +46,16 @@
   kNotLocated,
   /// The route of an open flow was removed.
   kRouteRemoved,
+  /// No upstream holds an open flow any more.
+  kFlowLost,
 };
 
-inline constexpr size_t kEntryVerdicts = 9;
+inline constexpr size_t kEntryVerdicts = 10;
 
 constexpr std::string_view Name(EntryVerdict verdict) {
   constexpr std::array<std::string_view, kEntryVerdicts> kNames = {
-      "placed",    "placed_again", "no_route",    "no_upstream",  "overloaded",
-      "not_taken", "located",      "not_located", "route_removed"};
+      "placed",    "placed_again", "no_route",    "no_upstream",   "overloaded",
+      "not_taken", "located",      "not_located", "route_removed", "flow_lost"};
   return kNames[static_cast<size_t>(verdict)];
 }
 
@@ -134,11 +136,16 @@
       next.emplace(it.sidecar, std::move(view));
     }
     upstreams_ = std::move(next);
+    upstreams_known_ = true;
+    upstreams_changed_at_ = now;
   }
 
+  /// Whether the store answers, so that the upstream records are complete.
+  void OnStoreState(bool answers) { store_answers_ = answers; }
+
   /// A packet that came from the routers.
   void OnCallerPacket(const request::ParsedPacket& packet, TimePoint now) {
-    if (routes_ == nullptr) {
+    if (routes_ == nullptr || !upstreams_known_) {
       return;
     }
     const version::Route* route = routes_->Find(packet.flow.service);
@@ -229,6 +236,11 @@
   // Packets kept while the holder of their flow is searched.
   static constexpr size_t kMaxKeptPackets = 8;
   static constexpr size_t kMaxSearches = 4096;
+  // A record that a sidecar wrote is known here within this time while the
+  // store answers: 0.4 s for a slow store's answer and 80 ms for gathering.
+  static constexpr Milliseconds kDenialTime{500};
+  // A caller sends again at most 1.6 s after the last packet.
+  static constexpr Milliseconds kDenialLife{4000};
   // A flow is offered to at most this many upstreams: an offer takes about
   // 1 ms, and one that none of four takes meets an overload.
   static constexpr size_t kMaxOffers = 4;
@@ -545,10 +557,39 @@
       flows_.erase(flow);
     }
     const auto it = searches_.find(key);
-    if (it != searches_.end()) {
-      ++it->second.denied;
-      ProbeUnsure(&it->second, now);
+    if (it == searches_.end()) {
+      return;
+    }
+    Search& search = it->second;
+    ++search.denied;
+    ProbeUnsure(&search, now);
+    if (search.denied >= search.asked && search.asked != 0) {
+      const std::vector<std::byte> packet = std::move(search.packets.front());
+      searches_.erase(it);
+      OnDeniedByAll(key, packet, now);
+    }
+  }
+
+  // Every sidecar of the service says that its upstream does not hold the
+  // flow. The caller is told, so that it can try again, once that was so for
+  // long enough that a record of a new upstream would have come meanwhile.
+  void OnDeniedByAll(const request::FlowKey& key,
+                     std::span<const std::byte> bytes, TimePoint now) {
+    const auto [it, first] = denied_.try_emplace(key, now);
+    const bool long_enough = now - it->second >= kDenialTime;
+    const bool records_unchanged = upstreams_changed_at_ <= it->second;
+    if (first || !long_enough || !records_unchanged || !store_answers_) {
+      if (long_enough) {
+        it->second = now;
+      }
+      Report(EntryVerdict::kNotLocated, key, routes_->Find(key.service));
+      return;
+    }
+    denied_.erase(it);
+    if (const auto packet = sink_->Parse(bytes)) {
+      sink_->Reset(*packet);
     }
+    Report(EntryVerdict::kFlowLost, key, routes_->Find(key.service));
   }
 
   void OnUnsure(const request::Endpoint& from, const request::FlowKey& key,
@@ -621,6 +662,8 @@
   }
 
   void ExpireFlows(TimePoint now) {
+    std::erase_if(
+        denied_, [&](const auto& it) { return now - it.second > kDenialLife; });
     const Milliseconds idle =
         routes_ == nullptr ? Milliseconds(0) : routes_->idle_timeout;
     absl::erase_if(flows_, [&](const auto& it) {
@@ -650,6 +693,11 @@
   std::map<request::Endpoint, UpstreamView> upstreams_;
   absl::flat_hash_map<request::FlowKey, Flow, request::FlowKeyHash> flows_;
   std::map<request::FlowKey, Search> searches_;
+  /// Flows that every sidecar denied, with the time of the first denial.
+  std::map<request::FlowKey, TimePoint> denied_;
+  bool upstreams_known_ = false;
+  TimePoint upstreams_changed_at_;
+  bool store_answers_ = true;
   TimePoint next_sweep_;
 };
 
--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -64,11 +64,14 @@
 concept GateSink = requires(S sink, const request::Endpoint& to,
                             const request::HopMessage& message,
                             std::span<const std::byte> packet,
+                            const request::ParsedPacket& parsed,
                             const GateDecision& decision) {
   // Hands a caller's packet to the upstream.
   sink.Deliver(packet);
   // Sends the upstream's packet to the caller.
   sink.Answer(to, packet);
+  // Resets the flow of a caller's packet.
+  sink.Reset(parsed);
   // Sends a message, followed by a packet or nothing, to an entry instance.
   sink.Send(to, message, packet);
   sink.Decided(decision);
@@ -204,9 +207,13 @@
     if (packet.IsFirst()) {
       Return(flow.entry, packet, request::ReturnReason::kRejected);
     } else {
-      Report(flow.probed_by ? GateVerdict::kNotHeld : GateVerdict::kLost,
+      const bool was_held = flow.open && !flow.probed_by;
+      Report(was_held ? GateVerdict::kLost : GateVerdict::kNotHeld,
              packet.flow);
       AnswerLocate(flow.entry, request::HopKind::kNotHeld, packet.flow);
+      if (was_held && !flow.caller_ended && !flow.upstream_ended) {
+        sink_->Reset(packet);
+      }
     }
     ReportToAll(now);
   }
--- a/packages/connection/test/entry_router_test.cc
+++ b/packages/connection/test/entry_router_test.cc
@@ -267,6 +267,69 @@
   CHECK(f.sink.verdicts.back() == EntryVerdict::kNotLocated);
 }
 
+// The first packet of a search and all denials.
+void SearchInVain(Fixture* f) {
+  f->Data(1);
+  for (int i = 1; i <= 3; ++i) {
+    f->Message(i, HopKind::kNotHeld, 1);
+  }
+}
+
+// All upstreams restarted at once; callers waited for their full time limit
+// since nobody told them that their flows were gone.
+TEST_CASE("entry_router: a flow that nobody holds for half a second is reset") {
+  Fixture f;
+  SearchInVain(&f);
+  CHECK(f.sink.resets.empty());
+  f.Wait(milliseconds(200));
+  SearchInVain(&f);
+  CHECK(f.sink.resets.empty());
+  f.Wait(milliseconds(400));
+  SearchInVain(&f);
+  CHECK(f.sink.resets.size() == 1);
+  CHECK(f.sink.verdicts.back() == EntryVerdict::kFlowLost);
+}
+
+TEST_CASE(
+    "entry_router: a flow is not reset while the upstreams may be incomplete") {
+  Fixture f;
+  SearchInVain(&f);
+  f.Wait(milliseconds(600));
+  f.router.OnUpstreams(f.records, f.now);
+  SearchInVain(&f);
+  CHECK(f.sink.resets.empty());
+  f.router.OnStoreState(false);
+  f.Wait(milliseconds(600));
+  SearchInVain(&f);
+  CHECK(f.sink.resets.empty());
+  f.router.OnStoreState(true);
+  f.Wait(milliseconds(600));
+  SearchInVain(&f);
+  CHECK(f.sink.resets.size() == 1);
+}
+
+TEST_CASE("entry_router: a flow is not reset while a sidecar is silent") {
+  Fixture f;
+  for (int i = 0; i < 5; ++i) {
+    f.Data(1);
+    f.Message(1, HopKind::kNotHeld, 1);
+    f.Message(2, HopKind::kNotHeld, 1);
+    f.Wait(milliseconds(400));
+  }
+  CHECK(f.sink.resets.empty());
+}
+
+// An instance that had its routes but not yet its upstreams refused callers.
+TEST_CASE("entry_router: nothing is refused before the upstreams are known") {
+  Fixture f;
+  EntryRouter<Sink> router{{request::AvailabilityZone("a"), 1000, 1}, &f.sink};
+  router.OnRoutes(Routes(1));
+  auto packet = f.Make(1);
+  packet.syn = true;
+  router.OnCallerPacket(packet, f.now);
+  CHECK(f.sink.resets.empty());
+}
+
 TEST_CASE(
     "entry_router: only upstreams beside restarted sidecars are probed, and "
     "only when no sidecar knows the flow") {
--- a/packages/connection/test/upstream_gate_test.cc
+++ b/packages/connection/test/upstream_gate_test.cc
@@ -28,6 +28,9 @@
               std::span<const std::byte> /*packet*/) {
     ++answered;
   }
+  void Reset(const request::ParsedPacket& packet) {
+    resets.push_back(packet.flow);
+  }
   void Send(const request::Endpoint& /*to*/, const request::HopMessage& message,
             std::span<const std::byte> /*packet*/) {
     sent.push_back(message);
@@ -53,6 +56,7 @@
   int answered = 0;
   std::vector<request::HopMessage> sent;
   std::vector<GateDecision> decisions;
+  std::vector<request::FlowKey> resets;
 };
 
 // The times at which an upstream and its sidecar started.
@@ -235,6 +239,21 @@
   CHECK(f.gate.load().opening == 0);
 }
 
+TEST_CASE(
+    "upstream_gate: a caller is told at once that its upstream lost an open "
+    "flow") {
+  Fixture f;
+  f.Open(1);
+  f.FromCaller(f.Data(1));
+  f.gate.OnRejectedPacket(f.Data(1), f.now);
+  CHECK(f.sink.resets == std::vector{f.Key(1)});
+  // A flow that was only asked about may be open at another upstream.
+  Fixture other(kOldUpstream);
+  other.FromCaller(other.Data(1));
+  other.gate.OnRejectedPacket(other.Data(1), other.now);
+  CHECK(other.sink.resets.empty());
+}
+
 TEST_CASE("upstream_gate: a new boot holds no flow of the one before") {
   Fixture f;
   f.Open(1);
--- a/packages/process/include/kumquatvalve/process/entry_node.h
+++ b/packages/process/include/kumquatvalve/process/entry_node.h
@@ -107,6 +107,9 @@
     upstreams_.Put(std::move(records));
   }
 
+  /// Whether the store answered the last call about upstream records.
+  void PublishStoreState(bool answers) { store_answers_ = answers; }
+
   /// Whether packets can be routed.
   bool Ready() const { return has_routes_ && has_upstreams_ && !stopping_; }
 
@@ -176,6 +179,7 @@
     if (auto records = upstreams_.Take()) {
       router_.OnUpstreams(*records, now_);
     }
+    router_.OnStoreState(store_answers_);
   }
 
   size_t TakeHopMessages() {
@@ -219,6 +223,7 @@
   Mailbox<std::vector<version::UpstreamRecord>> upstreams_;
   std::atomic<bool> has_routes_{false};
   std::atomic<bool> has_upstreams_{false};
+  std::atomic<bool> store_answers_{true};
   std::atomic<bool> stopping_{false};
   Clock::time_point now_;
   Router router_;
--- a/packages/process/include/kumquatvalve/process/sidecar_node.h
+++ b/packages/process/include/kumquatvalve/process/sidecar_node.h
@@ -17,6 +17,7 @@
 namespace kumquatvalve::process {
 
 /// What a sidecar's gate lets happen, on its sockets.
+template <PacketFormat F>
 class SidecarOutput {
  public:
   using TimePoint = std::chrono::steady_clock::time_point;
@@ -49,6 +50,11 @@
     to_nodes_.Send({}, packet, {caller.address, caller_port_});
     counters_.Count(PacketEvent::kAnswered);
   }
+  void Reset(const request::ParsedPacket& packet) {
+    const auto reset = F::BuildReset(packet);
+    to_nodes_.Send({}, reset, {packet.flow.caller.address, caller_port_});
+    counters_.Count(PacketEvent::kAnswered);
+  }
   void Send(const request::Endpoint& to, const request::HopMessage& message,
             std::span<const std::byte> packet) {
     to_nodes_.Send(request::EncodeHopMessage(message).span(), packet, to);
@@ -149,7 +155,7 @@
   const DecisionLog& decisions() const { return output_.decisions(); }
 
  private:
-  using Gate = connection::UpstreamGate<SidecarOutput>;
+  using Gate = connection::UpstreamGate<SidecarOutput<F>>;
 
   // Entry instances that know of a sidecar greet it every second.
   static constexpr std::chrono::milliseconds kForgotten{10000};
@@ -215,7 +221,7 @@
 
   version::NodeSettings settings_;
   std::function<void()> on_forgotten_;
-  SidecarOutput output_;
+  SidecarOutput<F> output_;
   ReceiveBatch in_;
   Mailbox<std::optional<connection::UpstreamIdentity>> identity_;
   std::atomic<bool> stopping_{false};
