Use an upstream only after its sidecar answered

Change: an entry instance greets every sidecar as soon as its record comes and places flows there once it was heard. Without any that was heard, all count.

--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -138,6 +138,7 @@
     upstreams_ = std::move(next);
     upstreams_known_ = true;
     upstreams_changed_at_ = now;
+    GreetUpstreams(now);
   }
 
   /// Whether the store answers, so that the upstream records are complete.
--- a/packages/connection/include/kumquatvalve/connection/upstream_view.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_view.h
@@ -31,8 +31,9 @@
   void OnReturned(request::ReturnReason reason, TimePoint now);
   void OnGreeted(TimePoint now);
 
-  /// Whether a new flow may be placed here.
-  /// @param last_resort no other upstream may take it: silence is no reason
+  /// Whether a new flow may be placed here: the sidecar was heard, is not
+  /// silent and did not return flows lately.
+  /// @param last_resort no other upstream may take it: only a drain is a reason
   ///   against it then, since the reports may be lost.
   bool MayTake(TimePoint now, bool last_resort) const;
 
@@ -57,7 +58,8 @@
   /// Flows placed here since the last report.
   uint32_t placed_since_report_ = 0;
   TimePoint reported_at_;
-  TimePoint heard_at_;
+  /// Nothing before the first message of the sidecar.
+  std::optional<TimePoint> heard_at_;
   TimePoint greeted_at_;
   /// First message that the sidecar has not reacted to.
   std::optional<TimePoint> unanswered_since_;
--- a/packages/connection/src/upstream_view.cc
+++ b/packages/connection/src/upstream_view.cc
@@ -33,8 +33,7 @@
 UpstreamView::UpstreamView(const version::UpstreamRecord& record, TimePoint now)
     : record_(record),
       tag_(request::ServiceTagOf(record.service.text())),
-      reported_at_(now),
-      heard_at_(now) {}
+      reported_at_(now) {}
 
 bool UpstreamView::Same(const version::UpstreamRecord& record) const {
   return record_.sidecar == record.sidecar &&
@@ -106,12 +105,13 @@
   if (last_resort) {
     return true;
   }
-  return now >= avoid_until_ && !load_.unresponsive && !Silent(now);
+  return heard_at_ && now >= avoid_until_ && !load_.unresponsive &&
+         !Silent(now);
 }
 
 bool UpstreamView::GreetingDue(TimePoint now,
                                std::chrono::milliseconds period) const {
-  const TimePoint last = std::max(greeted_at_, heard_at_);
+  const TimePoint last = std::max(greeted_at_, heard_at_.value_or(TimePoint()));
   return greeted_at_ == TimePoint() || now - last >= period;
 }
 
--- a/packages/connection/test/entry_router_test.cc
+++ b/packages/connection/test/entry_router_test.cc
@@ -429,5 +429,24 @@
                    EntryVerdict::kPlaced) == 2);
 }
 
+// Records outlive machines that lost power; after a restart of all processes a
+// part of the first flows was sent to machines that were gone.
+TEST_CASE("entry_router: an upstream is used when its sidecar has answered") {
+  Fixture f;
+  f.records.push_back(Record(4, "a"));
+  f.router.OnUpstreams(f.records, f.now);
+  CHECK(f.sink.Of(HopKind::kHello).back().to == Record(4, "a").sidecar);
+  for (uint16_t i = 1; i < 30; ++i) {
+    f.Syn(i);
+    CHECK(f.Last().to != Record(4, "a").sidecar);
+  }
+  for (int i = 1; i <= 3; ++i) {
+    f.Report(i, {.in_progress = 8});
+  }
+  f.Report(4, {});
+  f.Syn(50);
+  CHECK(f.Last().to == Record(4, "a").sidecar);
+}
+
 }  // namespace
 }  // namespace kumquatvalve::connection
