Return a flow that would wait for a slot with the current load

Cause: a load report is up to 100 ms old and a request takes 28 ms, so entry instances of several zones fill the same upstream while others have free slots.

Change: a sidecar whose upstream has every slot taken returns a first packet with a fresh report; the entry instance decides again, and its third offer or an offer to an upstream that is chosen again is final.

--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -172,7 +172,7 @@
       flow.first_packet.clear();
     }
     flow.ended = flow.ended || packet.fin || packet.rst;
-    Forward(flow.holder, packet.bytes, /*probe=*/false, now);
+    Forward(flow.holder, packet.bytes, {}, now);
   }
 
   /// A datagram of a sidecar.
@@ -244,7 +244,9 @@
   static constexpr Milliseconds kDenialLife{4000};
   // A flow is offered to at most this many upstreams: an offer takes about
   // 1 ms, and one that none of four takes meets an overload.
-  static constexpr size_t kMaxOffers = 4;
+  static constexpr size_t kMaxOffers = 5;
+  // After this many offers the flow waits where it is placed.
+  static constexpr size_t kQueueFullOffers = 3;
   // Ended flows stay known for the retransmissions of their last packets.
   static constexpr Milliseconds kEndedLife{4000};
   // A caller sends no copies of its first packet after 1.4 s.
@@ -258,6 +260,11 @@
   static constexpr std::chrono::microseconds kShortZoneCost{12000};
   static constexpr std::chrono::microseconds kBulkZoneCost{150000};
 
+  struct ForwardOptions {
+    bool probe = false;
+    bool final_offer = false;
+  };
+
   struct Flow {
     request::Endpoint holder;
     uint32_t caller_isn = 0;
@@ -266,8 +273,11 @@
     bool ended = false;
     TimePoint last_packet;
     TimePoint placed_at;
-    /// Sidecars that the first packet was offered to.
+    /// Sidecars that the first packet was offered to, and those of them that
+    /// may still have it or that do not take flows.
     std::vector<request::Endpoint> offered;
+    std::vector<request::Endpoint> excluded;
+    size_t offers = 0;
     size_t returned = 0;
     /// Two upstreams may have answered the first packet.
     bool twice = false;
@@ -344,13 +354,21 @@
   void Offer(Flow flow, const request::ParsedPacket& packet,
              const version::Route& route, EntryVerdict verdict, TimePoint now) {
     EntryDecision decision;
-    UpstreamView* view = Choose(route, flow.offered, &decision, now);
-    if (view == nullptr) {
+    UpstreamView* view = Choose(route, flow.excluded, &decision, now);
+    if (view == nullptr || flow.offers >= kMaxOffers) {
       Refuse(flow, packet, decision.verdict, route);
       return;
     }
     flow.holder = view->sidecar();
-    flow.offered.push_back(flow.holder);
+    const bool offered_before =
+        std::find(flow.offered.begin(), flow.offered.end(), flow.holder) !=
+        flow.offered.end();
+    if (!offered_before) {
+      flow.offered.push_back(flow.holder);
+    }
+    flow.excluded.push_back(flow.holder);
+    ++flow.offers;
+    const bool final_offer = offered_before || flow.offers >= kQueueFullOffers;
     view->OnPlaced(now);
     decision.verdict = verdict;
     decision.flow = packet.flow;
@@ -360,14 +378,14 @@
     decision.route_revision = routes_->revision;
     const request::Endpoint holder = flow.holder;
     flows_.insert_or_assign(packet.flow, std::move(flow));
-    Forward(holder, packet.bytes, /*probe=*/false, now);
+    Forward(holder, packet.bytes, {.final_offer = final_offer}, now);
     sink_->Decided(decision);
   }
 
   // A reset is true only when no upstream can have taken the flow.
   void Refuse(const Flow& flow, const request::ParsedPacket& packet,
               EntryVerdict verdict, const version::Route& route) {
-    const bool nothing_open = flow.offered.size() == flow.returned;
+    const bool nothing_open = flow.offers == flow.returned;
     if (nothing_open) {
       flows_.erase(packet.flow);
       sink_->Reset(packet);
@@ -399,7 +417,7 @@
     decision->verdict =
         excluded.empty() ? EntryVerdict::kNoUpstream : EntryVerdict::kNotTaken;
     const version::RouteShare* share = PickShare(route);
-    if (share == nullptr || excluded.size() >= kMaxOffers) {
+    if (share == nullptr) {
       return nullptr;
     }
     std::vector<UpstreamView*> views;
@@ -442,7 +460,7 @@
     const auto it = upstreams_.find(flow->holder);
     const bool alive = it != upstreams_.end() && it->second.MayTake(now, false);
     if (flow->open || alive) {
-      Forward(flow->holder, packet.bytes, /*probe=*/false, now);
+      Forward(flow->holder, packet.bytes, {}, now);
       return;
     }
     Flow again = *flow;
@@ -468,6 +486,10 @@
     }
     Flow flow = it->second;
     ++flow.returned;
+    if (reason == request::ReturnReason::kQueueFull) {
+      // Its queue may still be the shortest way to an answer.
+      std::erase(flow.excluded, from);
+    }
     Offer(std::move(flow), *packet, *route, EntryVerdict::kPlacedAgain, now);
   }
 
@@ -539,7 +561,7 @@
       // A probe carried the first packet to this sidecar already.
       const bool sent = search.probed && i == 0;
       if (!sent) {
-        Forward(from, packet, /*probe=*/false, now);
+        Forward(from, packet, {}, now);
       }
     }
     EntryDecision decision;
@@ -612,12 +634,13 @@
     }
     search->probed = true;
     for (const request::Endpoint& it : search->unsure) {
-      Forward(it, search->packets.front(), /*probe=*/true, now);
+      Forward(it, search->packets.front(), {.probe = true}, now);
     }
   }
 
   void Forward(const request::Endpoint& sidecar,
-               std::span<const std::byte> packet, bool probe, TimePoint now) {
+               std::span<const std::byte> packet, ForwardOptions options,
+               TimePoint now) {
     const auto it = upstreams_.find(sidecar);
     if (it == upstreams_.end()) {
       return;
@@ -625,7 +648,8 @@
     request::HopMessage message;
     message.kind = request::HopKind::kPacket;
     message.service = it->second.tag();
-    message.probe = probe;
+    message.probe = options.probe;
+    message.final_offer = options.final_offer;
     it->second.OnSent(now);
     sink_->Send(sidecar, message, packet);
   }
--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -137,7 +137,7 @@
     if (packet.IsFirst()) {
       it != flows_.end() && it->second.caller_isn == packet.sequence
           ? sink_->Deliver(packet.bytes)
-          : OnFirstPacket(entry, packet, now);
+          : OnFirstPacket(entry, message, packet, now);
       return;
     }
     if (it == flows_.end()) {
@@ -294,6 +294,10 @@
     sink_->Decided({verdict, flow, reason, load_.in_progress, load_.opening});
   }
 
+  bool EverySlotTaken() const {
+    return load_.slots != 0 && load_.in_progress + load_.opening >= load_.slots;
+  }
+
   void NoteEntry(const request::Endpoint& entry, TimePoint now) {
     Entry& state = entries_[entry];
     state.heard_at = now;
@@ -301,6 +305,7 @@
   }
 
   void OnFirstPacket(const request::Endpoint& entry,
+                     const request::HopMessage& message,
                      const request::ParsedPacket& packet, TimePoint now) {
     if (load_.draining) {
       Return(entry, packet, request::ReturnReason::kDraining);
@@ -313,6 +318,13 @@
       }
       next_trial_ = now + kTrialPeriod;
     }
+    if (!message.final_offer && EverySlotTaken()) {
+      // The entry instance decides with the current load, not with a report
+      // that may be older than the requests in progress.
+      SendReport(entry);
+      Return(entry, packet, request::ReturnReason::kQueueFull);
+      return;
+    }
     if (const auto old = flows_.find(packet.flow); old != flows_.end()) {
       EndWork(&old->second);
     }
--- a/packages/connection/src/upstream_view.cc
+++ b/packages/connection/src/upstream_view.cc
@@ -81,8 +81,10 @@
     case request::ReturnReason::kUnresponsive:
       avoid_until_ = now + kUnresponsivePause;
       break;
-    case request::ReturnReason::kRejected:
     case request::ReturnReason::kQueueFull:
+      // The report that came with it tells how long the queue is.
+      break;
+    case request::ReturnReason::kRejected:
     case request::ReturnReason::kNone:
       avoid_until_ = std::max(avoid_until_, now + kFullPause);
       break;
--- a/packages/connection/test/entry_router_test.cc
+++ b/packages/connection/test/entry_router_test.cc
@@ -448,5 +448,27 @@
   CHECK(f.Last().to == Record(4, "a").sidecar);
 }
 
+TEST_CASE(
+    "entry_router: a flow returned for a queue goes where an answer is "
+    "expected first, at the latest with the third offer") {
+  Fixture f;
+  f.Syn(1);
+  const Sent first = f.Last();
+  CHECK_FALSE(first.message.final_offer);
+  for (int i = 1; i <= 3; ++i) {
+    f.Report(i, {.in_progress = 4});
+  }
+  for (int i = 0; i < 2; ++i) {
+    const Sent last = f.Last();
+    f.router.OnHopMessage(last.to,
+                          {.kind = HopKind::kReturned,
+                           .service = request::ServiceTagOf("patio"),
+                           .reason = ReturnReason::kQueueFull},
+                          last.packet, f.now);
+  }
+  CHECK(f.Last().message.final_offer);
+  CHECK(f.sink.resets.empty());
+}
+
 }  // namespace
 }  // namespace kumquatvalve::connection
--- a/packages/connection/test/upstream_gate_test.cc
+++ b/packages/connection/test/upstream_gate_test.cc
@@ -113,8 +113,9 @@
   }
 
   void FromCaller(const request::ParsedPacket& packet,
-                  const char* service = "patio") {
+                  const char* service = "patio", bool final_offer = false) {
     request::HopMessage message;
+    message.final_offer = final_offer;
     message.kind = HopKind::kPacket;
     message.service = request::ServiceTagOf(service);
     gate.OnCallerPacket(kEntry, message, packet, now);
@@ -286,6 +287,8 @@
     "upstream_gate: an upstream that stops answering gets one trial at a "
     "time") {
   Fixture f;
+  // More slots than flows, so that none is returned for a queue.
+  f.gate.OnIdentity({"patio", "i-1", kYoungUpstream, 8, false}, f.now);
   f.FromCaller(f.Syn(1));
   f.Wait(milliseconds(200));
   CHECK(f.gate.load().unresponsive);
@@ -311,5 +314,20 @@
   CHECK(f.sink.last(HopKind::kLoad).load.opening == 1);
 }
 
+// Reports are up to 100 ms old, four times as long as a request takes.
+TEST_CASE(
+    "upstream_gate: a flow that would wait for a slot is returned with the "
+    "current load") {
+  Fixture f;
+  f.FromCaller(f.Syn(1));
+  f.FromCaller(f.Syn(2));
+  f.FromCaller(f.Syn(3));
+  CHECK(f.sink.last(HopKind::kReturned).reason == ReturnReason::kQueueFull);
+  CHECK(f.sink.last(HopKind::kLoad).load.opening == 2);
+  CHECK(f.sink.delivered == 2);
+  f.FromCaller(f.Syn(3), "patio", /*final_offer=*/true);
+  CHECK(f.sink.delivered == 3);
+}
+
 }  // namespace
 }  // namespace kumquatvalve::connection
--- a/packages/request/include/kumquatvalve/request/hop_message.h
+++ b/packages/request/include/kumquatvalve/request/hop_message.h
@@ -90,6 +90,9 @@
   ReturnReason reason = ReturnReason::kNone;
   /// For `kPacket`: the upstream is asked whether it holds the flow.
   bool probe = false;
+  /// For `kPacket`: no other upstream would take the flow sooner, so it is not
+  /// returned for a queue.
+  bool final_offer = false;
   /// For `kLocate`, `kHeld`, `kNotHeld`, `kUnsure`.
   FlowKey flow;
   /// For `kLocate`: the acknowledgment number of the caller's packet, which
--- a/packages/request/src/hop_message.cc
+++ b/packages/request/src/hop_message.cc
@@ -15,6 +15,7 @@
 constexpr uint8_t kProbeFlag = 1U << 0;
 constexpr uint8_t kDrainingFlag = 1U << 1;
 constexpr uint8_t kUnresponsiveFlag = 1U << 2;
+constexpr uint8_t kFinalOfferFlag = 1U << 3;
 
 class Writer {
  public:
@@ -89,6 +90,7 @@
 
 uint8_t FlagsOf(const HopMessage& message) {
   return (message.probe ? kProbeFlag : 0) |
+         (message.final_offer ? kFinalOfferFlag : 0) |
          (message.load.draining ? kDrainingFlag : 0) |
          (message.load.unresponsive ? kUnresponsiveFlag : 0);
 }
@@ -152,6 +154,7 @@
   message.reason = static_cast<ReturnReason>(reader.Get<uint8_t>());
   message.service.value = reader.Get<uint64_t>();
   message.probe = (flags & kProbeFlag) != 0;
+  message.final_offer = (flags & kFinalOfferFlag) != 0;
   if (NamesFlow(message.kind)) {
     message.flow.caller = reader.GetEndpoint();
     message.flow.service = reader.GetEndpoint();
