Serve decisions, latencies and the state of a node over HTTP

Cause: logs tell of single flows; nothing told how often each decision was taken, how old the reports behind placements were, or what a process has in force.

Change: counters by verdict, histograms of store calls, expected wait and report age, gauges of flows, requests in progress, routes and upstreams at /metrics; /status answers with what is in force. The traffic thread fills in the status when it is asked for.

--- a/packages/process/include/kumquatvalve/process/entry_node.h
+++ b/packages/process/include/kumquatvalve/process/entry_node.h
@@ -6,11 +6,14 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
 #include <utility>
 #include <vector>
 
 #include "kumquatvalve/connection/entry_router.h"
 #include "kumquatvalve/process/decision_log.h"
+#include "kumquatvalve/process/node_metrics.h"
 #include "kumquatvalve/process/packet_format.h"
 #include "kumquatvalve/process/traffic_loop.h"
 #include "kumquatvalve/version/node_settings.h"
@@ -26,6 +29,7 @@
   EntryOutput(const version::NodeSettings& settings, const Logger* logger)
       : caller_port_(settings.packets.port),
         log_(logger),
+        metrics_(&log_),
         to_callers_(&caller_socket_, &counters_),
         to_sidecars_(&hop_socket_, &counters_) {}
 
@@ -58,17 +62,21 @@
   }
   void Decided(const connection::EntryDecision& decision) {
     log_.OnEntryDecision(decision, now_);
+    if (decision.verdict == connection::EntryVerdict::kPlaced) {
+      metrics_.OnPlacement(decision.expected_wait, decision.report_age);
+    }
   }
 
   const UdpSocket& caller_socket() const { return caller_socket_; }
   const UdpSocket& hop_socket() const { return hop_socket_; }
   TrafficCounters& counters() { return counters_; }
   const TrafficCounters& counters() const { return counters_; }
-  const DecisionLog& decisions() const { return log_; }
+  NodeMetrics& metrics() { return metrics_; }
 
  private:
   uint16_t caller_port_;
   DecisionLog log_;
+  NodeMetrics metrics_;
   UdpSocket caller_socket_;
   UdpSocket hop_socket_;
   TrafficCounters counters_;
@@ -135,7 +143,9 @@
       if (now_ >= next_tick) {
         next_tick = now_ + Router::kTick;
         router_.OnTick(now_);
+        PublishGauges();
       }
+      status_.Serve([this] { return Describe(); });
       output_.Flush();
       if (pauses_.OnLoop(now_, std::chrono::system_clock::now())) {
         on_pause_();
@@ -152,7 +162,10 @@
   }
 
   const TrafficCounters& counters() const { return output_.counters(); }
-  const DecisionLog& decisions() const { return output_.decisions(); }
+  NodeMetrics& metrics() { return output_.metrics(); }
+
+  /// What is in force here, as JSON. May be called from any thread.
+  std::string Status() { return status_.Ask(); }
 
  private:
   using Router = connection::EntryRouter<EntryOutput<F>>;
@@ -172,6 +185,43 @@
     return request::ServiceTagOf(settings.instance.text()).value | 1;
   }
 
+  void PublishGauges() {
+    output_.metrics().SetFlows(router_.flows());
+    output_.metrics().SetUpstreams(router_.upstreams().size());
+    if (router_.routes() != nullptr) {
+      output_.metrics().SetRouteRevision(router_.routes()->revision);
+    }
+  }
+
+  std::string Describe() const {
+    nlohmann::ordered_json status;
+    status["role"] = "entry";
+    status["instance"] = settings_.instance.text();
+    status["ready"] = Ready();
+    status["store_answers"] = store_answers_.load();
+    status["flows"] = router_.flows();
+    if (router_.routes() != nullptr) {
+      status["route_revision"] = router_.routes()->revision;
+      status["route_version"] = router_.routes()->version;
+      status["routes"] = router_.routes()->routes.size();
+    }
+    status["upstreams"] = nlohmann::ordered_json::array();
+    for (const auto& [sidecar, view] : router_.upstreams()) {
+      status["upstreams"].push_back(
+          {{"sidecar", request::ToString(sidecar)},
+           {"upstream", view.record().instance},
+           {"service", view.record().service.text()},
+           {"zone", view.record().zone.text()},
+           {"may_take", view.MayTake(now_, false)},
+           {"draining", view.record().draining || view.load().draining},
+           {"in_progress", view.load().in_progress},
+           {"slots", view.record().slots},
+           {"service_time_us", view.load().service_time_us},
+           {"report_age_ms", view.ReportAge(now_).count()}});
+    }
+    return status.dump();
+  }
+
   void TakeUpdates() {
     if (auto routes = routes_.Take()) {
       router_.OnRoutes(std::move(*routes));
@@ -218,6 +268,7 @@
   std::function<void()> on_pause_;
   EntryOutput<F> output_;
   ReceiveBatch in_;
+  StatusRequest status_;
   PauseDetector pauses_;
   Mailbox<std::shared_ptr<const version::RouteMap>> routes_;
   Mailbox<std::vector<version::UpstreamRecord>> upstreams_;
--- a/packages/process/include/kumquatvalve/process/sidecar_node.h
+++ b/packages/process/include/kumquatvalve/process/sidecar_node.h
@@ -5,11 +5,14 @@
 #include <atomic>
 #include <chrono>
 #include <functional>
+#include <nlohmann/json.hpp>
 #include <optional>
+#include <string>
 #include <utility>
 
 #include "kumquatvalve/connection/upstream_gate.h"
 #include "kumquatvalve/process/decision_log.h"
+#include "kumquatvalve/process/node_metrics.h"
 #include "kumquatvalve/process/packet_format.h"
 #include "kumquatvalve/process/traffic_loop.h"
 #include "kumquatvalve/version/node_settings.h"
@@ -26,6 +29,7 @@
       : caller_port_(settings.packets.port),
         upstream_(settings.upstream->packets),
         log_(logger),
+        metrics_(&log_),
         to_nodes_(&hop_socket_, &counters_),
         to_upstream_(&upstream_socket_, &counters_) {}
 
@@ -68,12 +72,13 @@
   const UdpSocket& upstream_socket() const { return upstream_socket_; }
   TrafficCounters& counters() { return counters_; }
   const TrafficCounters& counters() const { return counters_; }
-  const DecisionLog& decisions() const { return log_; }
+  NodeMetrics& metrics() { return metrics_; }
 
  private:
   uint16_t caller_port_;
   request::Endpoint upstream_;
   DecisionLog log_;
+  NodeMetrics metrics_;
   UdpSocket hop_socket_;
   UdpSocket upstream_socket_;
   TrafficCounters counters_;
@@ -129,7 +134,10 @@
       if (now_ >= next_tick) {
         next_tick = now_ + Gate::kTick;
         gate_.OnTick(now_);
+        output_.metrics().SetFlows(gate_.flows());
+        output_.metrics().SetInProgress(gate_.load().in_progress);
       }
+      status_.Serve([this] { return Describe(); });
       if (gate_.heard_entries()) {
         entries_heard = now_;
       } else if (now_ - entries_heard > kForgotten) {
@@ -152,7 +160,10 @@
   }
 
   const TrafficCounters& counters() const { return output_.counters(); }
-  const DecisionLog& decisions() const { return output_.decisions(); }
+  NodeMetrics& metrics() { return output_.metrics(); }
+
+  /// What is in force here, as JSON. May be called from any thread.
+  std::string Status() { return status_.Ask(); }
 
  private:
   using Gate = connection::UpstreamGate<SidecarOutput<F>>;
@@ -162,6 +173,25 @@
   // Time for the end of the process within its stop timeout.
   static constexpr std::chrono::milliseconds kExitMargin{1500};
 
+  std::string Describe() const {
+    const request::UpstreamLoad& load = gate_.load();
+    const nlohmann::ordered_json status = {
+        {"role", "sidecar"},
+        {"instance", settings_.instance.text()},
+        {"ready", Ready()},
+        {"upstream", gate_.identity().instance},
+        {"service", gate_.identity().service},
+        {"boot_ms", gate_.identity().boot_ms},
+        {"draining", load.draining},
+        {"unresponsive", load.unresponsive},
+        {"slots", load.slots},
+        {"in_progress", load.in_progress},
+        {"opening", load.opening},
+        {"service_time_us", load.service_time_us},
+        {"flows", gate_.flows()}};
+    return status.dump();
+  }
+
   void TakeUpdates() {
     if (auto identity = identity_.Take()) {
       if (*identity) {
@@ -223,6 +253,7 @@
   std::function<void()> on_forgotten_;
   SidecarOutput<F> output_;
   ReceiveBatch in_;
+  StatusRequest status_;
   Mailbox<std::optional<connection::UpstreamIdentity>> identity_;
   std::atomic<bool> stopping_{false};
   Clock::time_point now_;
--- a/packages/process/include/kumquatvalve/process/traffic_loop.h
+++ b/packages/process/include/kumquatvalve/process/traffic_loop.h
@@ -1,11 +1,14 @@
 #ifndef KUMQUATVALVE_PROCESS_TRAFFIC_LOOP_H_
 #define KUMQUATVALVE_PROCESS_TRAFFIC_LOOP_H_
 
+#include <atomic>
 #include <chrono>
+#include <condition_variable>
 #include <cstddef>
 #include <mutex>
 #include <optional>
 #include <span>
+#include <string>
 #include <utility>
 
 #include "kumquatvalve/process/traffic_counters.h"
@@ -31,6 +34,41 @@
   std::optional<T> value_;
 };
 
+/// Lets any thread ask the traffic thread for a text about its state.
+class StatusRequest {
+ public:
+  /// The text, or "{}" when the traffic thread does not answer in time.
+  std::string Ask() {
+    std::unique_lock lock(mutex_);
+    wanted_ = true;
+    const bool answered =
+        changed_.wait_for(lock, kTimeout, [this] { return !wanted_; });
+    return answered ? text_ : "{}";
+  }
+
+  /// Called by the traffic thread: answers a waiting question, if any.
+  template <typename F>
+  void Serve(const F& describe) {
+    if (!wanted_) {
+      return;
+    }
+    std::string text = describe();
+    const std::lock_guard lock(mutex_);
+    text_ = std::move(text);
+    wanted_ = false;
+    changed_.notify_all();
+  }
+
+ private:
+  // The traffic thread looks at it at least every 50 ms.
+  static constexpr std::chrono::milliseconds kTimeout{500};
+
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::atomic<bool> wanted_{false};
+  std::string text_;
+};
+
 /// Sends datagrams in batches and counts what the kernel did not take.
 class BatchSender {
  public:
--- /dev/null
+++ b/packages/process/src/node_metrics.cc
@@ -0,0 +1,103 @@
+#include "kumquatvalve/process/node_metrics.h"
+
+#include <utility>
+
+namespace kumquatvalve::process {
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+// Upper bounds in seconds: from one network round trip to the longest time
+// limit of a request.
+const prometheus::Histogram::BucketBoundaries kLatencyBuckets = {
+    0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1, 3};
+
+prometheus::Gauge* AddGauge(prometheus::Registry* registry, const char* name,
+                            const char* help) {
+  return &prometheus::BuildGauge()
+              .Name(name)
+              .Help(help)
+              .Register(*registry)
+              .Add({});
+}
+
+prometheus::Histogram* AddHistogram(prometheus::Registry* registry,
+                                    const char* name, const char* help) {
+  return &prometheus::BuildHistogram()
+              .Name(name)
+              .Help(help)
+              .Register(*registry)
+              .Add({}, kLatencyBuckets);
+}
+
+template <typename V, size_t kCount, typename F>
+prometheus::MetricFamily DecisionFamily(const char* name, const char* help,
+                                        const F& count) {
+  prometheus::MetricFamily family;
+  family.name = name;
+  family.help = help;
+  family.type = prometheus::MetricType::Counter;
+  for (size_t i = 0; i < kCount; ++i) {
+    const auto verdict = static_cast<V>(i);
+    prometheus::ClientMetric metric;
+    metric.label.push_back({"verdict", std::string(Name(verdict))});
+    metric.counter.value = static_cast<double>(count(verdict));
+    family.metric.push_back(std::move(metric));
+  }
+  return family;
+}
+
+}  // namespace
+
+NodeMetrics::NodeMetrics(const DecisionLog* decisions)
+    : decisions_(decisions),
+      store_calls_(&prometheus::BuildHistogram()
+                        .Name("kumquatvalve_store_call_duration_seconds")
+                        .Help("Time of store calls but for waiting watches.")
+                        .Register(registry_)),
+      expected_wait_(AddHistogram(
+          &registry_, "kumquatvalve_placement_expected_wait_seconds",
+          "Time that a placed flow is expected to wait for a slot.")),
+      report_age_(AddHistogram(&registry_,
+                               "kumquatvalve_placement_report_age_seconds",
+                               "Age of the load report of a placement.")),
+      flows_(AddGauge(&registry_, "kumquatvalve_flows",
+                      "Flows that the process remembers.")),
+      in_progress_(AddGauge(&registry_, "kumquatvalve_requests_in_progress",
+                            "Requests whose answer has not begun.")),
+      route_revision_(AddGauge(&registry_, "kumquatvalve_route_revision",
+                               "Store revision of the routes in force.")),
+      upstreams_(AddGauge(&registry_, "kumquatvalve_upstreams",
+                          "Upstream records in force.")) {}
+
+void NodeMetrics::OnStoreCall(std::string_view method,
+                              std::chrono::microseconds time, bool answered) {
+  store_calls_
+      ->Add({{"method", std::string(method)},
+             {"outcome", answered ? "answered" : "failed"}},
+            kLatencyBuckets)
+      .Observe(Seconds(time).count());
+}
+
+void NodeMetrics::OnPlacement(std::chrono::microseconds expected_wait,
+                              std::chrono::milliseconds report_age) {
+  expected_wait_->Observe(Seconds(expected_wait).count());
+  report_age_->Observe(Seconds(report_age).count());
+}
+
+std::vector<prometheus::MetricFamily> NodeMetrics::Collect() const {
+  std::vector<prometheus::MetricFamily> families = registry_.Collect();
+  families.push_back(
+      DecisionFamily<connection::EntryVerdict, connection::kEntryVerdicts>(
+          "kumquatvalve_entry_decisions_total",
+          "Decisions of an entry instance about flows.",
+          [this](auto it) { return decisions_->EntryCount(it); }));
+  families.push_back(
+      DecisionFamily<connection::GateVerdict, connection::kGateVerdicts>(
+          "kumquatvalve_sidecar_decisions_total",
+          "Decisions of a sidecar about flows.",
+          [this](auto it) { return decisions_->GateCount(it); }));
+  return families;
+}
+
+}  // namespace kumquatvalve::process
