Do not await machines that are gone; believe a sidecar as old as its upstream

Records of machines that were lost for good kept every search incomplete, so lost flows were reset after 5 s instead of half a second; and every sidecar was some tenths of a second younger than its upstream, so each search tried the packet at all 34 upstreams (87,181 probes in 10 s).

Change: sidecars that have been silent for 3 s are not awaited; a sidecar that started within a second of its upstream denies unknown flows; an upstream's denial of a flow is remembered for 10 s.

--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -535,8 +535,9 @@
     message.flow = packet.flow;
     message.acknowledgment = packet.acknowledgment;
     const auto sidecars = SidecarsOf(route, packet.flow.service);
-    search.asked = sidecars.size();
     for (const request::Endpoint& sidecar : sidecars) {
+      // Records of machines that are gone stay; their answers are not awaited.
+      search.asked += upstreams_.at(sidecar).Gone(now) ? 0 : 1;
       message.service = TagOf(sidecar);
       sink_->Send(sidecar, message, {});
     }
--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -100,13 +100,14 @@
   void OnIdentity(const UpstreamIdentity& identity, TimePoint now) {
     if (identity.boot_ms != identity_.boot_ms && identity_.boot_ms != 0) {
       flows_.clear();
+      denied_.clear();
       load_.in_progress = 0;
       load_.opening = 0;
       first_unanswered_.reset();
       load_.unresponsive = false;
       known_from_start_ = true;
     } else if (identity_.boot_ms == 0) {
-      known_from_start_ = identity.boot_ms > started_ms_;
+      known_from_start_ = identity.boot_ms + kHeadStart > started_ms_;
     }
     identity_ = identity;
     tag_ = request::ServiceTagOf(identity.service);
@@ -210,6 +211,9 @@
       const bool was_held = flow.open && !flow.probed_by;
       Report(was_held ? GateVerdict::kLost : GateVerdict::kNotHeld,
              packet.flow);
+      if (denied_.size() < kMaxDenials) {
+        denied_[packet.flow] = now;
+      }
       AnswerLocate(flow.entry, request::HopKind::kNotHeld, packet.flow);
       if (was_held && !flow.caller_ended && !flow.upstream_ended) {
         sink_->Reset(packet);
@@ -261,6 +265,13 @@
   static constexpr Milliseconds kEntryLife{10000};
   // A flow that opened and sent no request for this long is no work to come.
   static constexpr Milliseconds kOpeningWork{300};
+  // An upstream that started at most this long (ms) before this process got no
+  // flows through an earlier one: that would have had to start, to become
+  // known, to end and to be replaced meanwhile.
+  static constexpr uint64_t kHeadStart = 1000;
+  // How long the upstream's word that it does not hold a flow is believed.
+  static constexpr Milliseconds kDenialLife{10000};
+  static constexpr size_t kMaxDenials = 20000;
   // Weight of one request in the mean service time.
   static constexpr double kServiceTimeWeight = 0.05;
 
@@ -336,6 +347,7 @@
     flow.opening = true;
     ++load_.opening;
     flows_.insert_or_assign(packet.flow, flow);
+    denied_.erase(packet.flow);
     if (!first_unanswered_) {
       first_unanswered_ = now;
     }
@@ -372,7 +384,7 @@
   void OnUnknownFlow(const request::Endpoint& entry,
                      const request::HopMessage& /*message*/,
                      const request::ParsedPacket& packet, TimePoint now) {
-    if (known_from_start_) {
+    if (known_from_start_ || denied_.contains(packet.flow)) {
       DenyFlow(entry, packet.flow);
       return;
     }
@@ -395,8 +407,9 @@
     const auto it = flows_.find(message.flow);
     if (it == flows_.end() || it->second.probed_by) {
       AnswerLocate(entry,
-                   known_from_start_ ? request::HopKind::kNotHeld
-                                     : request::HopKind::kUnsure,
+                   known_from_start_ || denied_.contains(message.flow)
+                       ? request::HopKind::kNotHeld
+                       : request::HopKind::kUnsure,
                    message.flow);
       return;
     }
@@ -539,6 +552,8 @@
       }
       return old;
     });
+    absl::erase_if(
+        denied_, [&](const auto& it) { return now - it.second > kDenialLife; });
     absl::erase_if(entries_, [&](const auto& it) {
       return now - it.second.heard_at > kEntryLife;
     });
@@ -558,6 +573,9 @@
   /// This process has seen every flow of the upstream's boot.
   bool known_from_start_ = false;
   absl::flat_hash_map<request::FlowKey, Flow, request::FlowKeyHash> flows_;
+  /// Flows that the upstream rejected, with the time of that.
+  absl::flat_hash_map<request::FlowKey, TimePoint, request::FlowKeyHash>
+      denied_;
   absl::flat_hash_map<request::Endpoint, Entry, EndpointHash> entries_;
   /// First packet that the upstream has not answered.
   std::optional<TimePoint> first_unanswered_;
--- a/packages/connection/include/kumquatvalve/connection/upstream_view.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_view.h
@@ -37,6 +37,10 @@
   ///   against it then, since the reports may be lost.
   bool MayTake(TimePoint now, bool last_resort) const;
 
+  /// Whether the sidecar has been silent for so long that its machine is taken
+  /// to be gone or cut off.
+  bool Gone(TimePoint now) const;
+
   bool GreetingDue(TimePoint now, std::chrono::milliseconds period) const;
 
   PlacementCandidate Candidate(TimePoint now) const;
--- a/packages/connection/src/upstream_view.cc
+++ b/packages/connection/src/upstream_view.cc
@@ -13,6 +13,10 @@
 // the way there and back and for a busy processor.
 constexpr milliseconds kSilence{250};
 
+// Greetings are sent every second, so three of them were lost or the machine is
+// gone.
+constexpr milliseconds kGoneAfter{3000};
+
 // An upstream whose queue was full is tried again after about one request.
 constexpr milliseconds kFullPause{30};
 
@@ -100,6 +104,10 @@
   return unanswered_since_ && now - *unanswered_since_ > kSilence;
 }
 
+bool UpstreamView::Gone(TimePoint now) const {
+  return unanswered_since_ && now - *unanswered_since_ > kGoneAfter;
+}
+
 bool UpstreamView::MayTake(TimePoint now, bool last_resort) const {
   if (record_.draining || load_.draining) {
     return false;
--- a/packages/connection/test/entry_router_test.cc
+++ b/packages/connection/test/entry_router_test.cc
@@ -470,5 +470,18 @@
   CHECK(f.sink.resets.empty());
 }
 
+// Records of machines that were lost for good kept every denial incomplete, so
+// callers waited for their whole time limit.
+TEST_CASE("entry_router: the answer of a machine that is gone is not awaited") {
+  Fixture f;
+  f.records.push_back(Record(4, "a"));
+  f.router.OnUpstreams(f.records, f.now);
+  f.Wait(milliseconds(4000));
+  SearchInVain(&f);
+  f.Wait(milliseconds(600));
+  SearchInVain(&f);
+  CHECK(f.sink.resets.size() == 1);
+}
+
 }  // namespace
 }  // namespace kumquatvalve::connection
--- a/packages/connection/test/upstream_gate_test.cc
+++ b/packages/connection/test/upstream_gate_test.cc
@@ -60,9 +60,9 @@
 };
 
 // The times at which an upstream and its sidecar started.
-constexpr uint64_t kSidecarStart = 1000;
-constexpr uint64_t kYoungUpstream = 2000;
-constexpr uint64_t kOldUpstream = 500;
+constexpr uint64_t kSidecarStart = 100000;
+constexpr uint64_t kYoungUpstream = 101000;
+constexpr uint64_t kOldUpstream = 50000;
 
 struct Fixture {
   explicit Fixture(uint64_t boot_ms = kYoungUpstream) { Boot(boot_ms); }
@@ -329,5 +329,32 @@
   CHECK(f.sink.delivered == 3);
 }
 
+// After a loss of power sidecars start some tenths of a second later than their
+// upstreams; every lost flow was tried at every upstream again and again.
+TEST_CASE(
+    "upstream_gate: a sidecar that started right after its upstream has seen "
+    "every flow") {
+  Fixture f(kSidecarStart - 500);
+  f.Locate(1);
+  CHECK(f.sink.count(HopKind::kNotHeld) == 1);
+  f.FromCaller(f.Data(1));
+  CHECK(f.sink.delivered == 0);
+}
+
+TEST_CASE("upstream_gate: the upstream is asked once about a flow") {
+  Fixture f(kOldUpstream);
+  f.FromCaller(f.Data(1));
+  f.gate.OnRejectedPacket(f.Data(1), f.now);
+  f.Locate(1);
+  f.FromCaller(f.Data(1));
+  CHECK(f.sink.delivered == 1);
+  CHECK(f.sink.count(HopKind::kNotHeld) == 3);
+  // A new flow from the same port is another one.
+  f.FromCaller(f.Syn(1));
+  f.FromUpstream(f.SynAck(1));
+  f.Locate(1);
+  CHECK(f.sink.count(HopKind::kHeld) == 1);
+}
+
 }  // namespace
 }  // namespace kumquatvalve::connection
