--- a/packages/process/include/kumquatvalve/process/entry_node.h
+++ b/packages/process/include/kumquatvalve/process/entry_node.h
@@ -132,12 +132,12 @@
     while (true) {
       const std::array<int, 2> handles = {output_.caller_socket().handle(),
                                           output_.hop_socket().handle()};
-      WaitReadable(handles, Router::kTick);
+      const uint32_t readable = WaitReadable(handles, Router::kTick);
       now_ = Clock::now();
       output_.SetTime(now_);
       TakeUpdates();
-      const size_t n = TakeHopMessages();
-      if (TakeCallerPackets() != 0) {
+      const size_t n = (readable & kHopsReadable) != 0 ? TakeHopMessages() : 0;
+      if ((readable & kCallersReadable) != 0 && TakeCallerPackets() != 0) {
         last_packet = now_;
       }
       if (now_ >= next_tick) {
@@ -171,6 +171,10 @@
   using Router = connection::EntryRouter<EntryOutput<F>>;
   using Milliseconds = std::chrono::milliseconds;
 
+  // Bits of `WaitReadable`, in the order of the handles.
+  static constexpr uint32_t kCallersReadable = 1U << 0;
+  static constexpr uint32_t kHopsReadable = 1U << 1;
+
   // 100,000 flows take about 20 MB.
   static constexpr size_t kMaxFlows = 100000;
   // A stopping instance ends when no packet came for this time.
--- a/packages/process/include/kumquatvalve/process/sidecar_node.h
+++ b/packages/process/include/kumquatvalve/process/sidecar_node.h
@@ -125,12 +125,16 @@
     while (true) {
       const std::array<int, 2> handles = {output_.hop_socket().handle(),
                                           output_.upstream_socket().handle()};
-      WaitReadable(handles, Gate::kTick);
+      const uint32_t readable = WaitReadable(handles, Gate::kTick);
       now_ = Clock::now();
       output_.SetTime(now_);
       TakeUpdates();
-      TakeHopMessages();
-      TakeUpstreamPackets();
+      if ((readable & kHopsReadable) != 0) {
+        TakeHopMessages();
+      }
+      if ((readable & kUpstreamReadable) != 0) {
+        TakeUpstreamPackets();
+      }
       if (now_ >= next_tick) {
         next_tick = now_ + Gate::kTick;
         gate_.OnTick(now_);
@@ -168,6 +172,10 @@
  private:
   using Gate = connection::UpstreamGate<SidecarOutput<F>>;
 
+  // Bits of `WaitReadable`, in the order of the handles.
+  static constexpr uint32_t kHopsReadable = 1U << 0;
+  static constexpr uint32_t kUpstreamReadable = 1U << 1;
+
   // Entry instances that know of a sidecar greet it every second.
   static constexpr std::chrono::milliseconds kForgotten{10000};
   // Time for the end of the process within its stop timeout.
--- a/packages/process/include/kumquatvalve/process/udp_batch.h
+++ b/packages/process/include/kumquatvalve/process/udp_batch.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <span>
 #include <vector>
@@ -106,9 +107,11 @@
   std::vector<mmsghdr> messages_;
 };
 
-/// Waits until one of the handles is readable or `timeout` has passed.
-void WaitReadable(std::span<const int> handles,
-                  std::chrono::milliseconds timeout);
+/// Waits until one of the handles, four at most, is readable or `timeout` has
+/// passed.
+/// @return a bit for each handle that is readable, the first one the lowest.
+uint32_t WaitReadable(std::span<const int> handles,
+                      std::chrono::milliseconds timeout);
 
 }  // namespace kumquatvalve::process
 
--- a/packages/process/src/udp_batch.cc
+++ b/packages/process/src/udp_batch.cc
@@ -154,14 +154,19 @@
   return lost;
 }
 
-void WaitReadable(std::span<const int> handles,
-                  std::chrono::milliseconds timeout) {
+uint32_t WaitReadable(std::span<const int> handles,
+                      std::chrono::milliseconds timeout) {
   std::array<pollfd, 4> polled = {};
   size_t n = 0;
   for (const int it : handles) {
     polled[n++] = {it, POLLIN, 0};
   }
   poll(polled.data(), n, static_cast<int>(timeout.count()));
+  uint32_t readable = 0;
+  for (size_t i = 0; i < n; ++i) {
+    readable |= polled[i].revents != 0 ? 1U << i : 0;
+  }
+  return readable;
 }
 
 }  // namespace kumquatvalve::process
