--- a/apps/kumquatvalved/main.cc
+++ b/apps/kumquatvalved/main.cc
@@ -2,8 +2,11 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 
+#include <algorithm>
+#include <cstdlib>
 #include <iostream>
 #include <string>
+#include <string_view>
 
 #ifdef KUMQUATVALVE_FLEET
 #include "fleet.h"
@@ -22,6 +25,27 @@
 namespace kumquatvalve::daemon {
 namespace {
 
+constexpr char kUsage[] =
+    "kumquatvalved --control=fleet|store --role=entry|sidecar "
+    "--settings=FILE\n"
+    "Forwards packets as an entry instance or as the sidecar of an upstream.\n";
+
+constexpr char kFlags[] =
+    "\n"
+    "  --control=fleet|store   the fleet's own relays, or the platform's "
+    "store\n"
+    "  --role=entry|sidecar    fleet: must be the role in the settings\n"
+    "  --settings=FILE         YAML settings\n"
+    "  --static_tables=FILE    fleet: JSON tables instead of the control "
+    "channel\n";
+
+// Abseil's own --help ends with status 1.
+bool AsksForHelp(int argc, char** argv) {
+  return std::any_of(argv + 1, argv + argc, [](std::string_view it) {
+    return it == "--help" || it == "-help";
+  });
+}
+
 int Main() {
   const std::string control = absl::GetFlag(FLAGS_control);
   if (control == "store") {
@@ -44,11 +68,12 @@
 }  // namespace kumquatvalve::daemon
 
 int main(int argc, char** argv) {
-  absl::SetProgramUsageMessage(
-      "kumquatvalved --control=fleet|store --role=entry|sidecar "
-      "--settings=FILE\n"
-      "Forwards packets as an entry instance or as the sidecar of an "
-      "upstream.");
+  namespace daemon = kumquatvalve::daemon;
+  if (daemon::AsksForHelp(argc, argv)) {
+    std::cout << daemon::kUsage << daemon::kFlags;
+    return EXIT_SUCCESS;
+  }
+  absl::SetProgramUsageMessage(daemon::kUsage);
   absl::ParseCommandLine(argc, argv);
-  return kumquatvalve::daemon::Main();
+  return daemon::Main();
 }
