--- a/packages/process/test/node_metrics_test.cc
+++ b/packages/process/test/node_metrics_test.cc
@@ -22,13 +22,19 @@
                        std::chrono::milliseconds(70));
   metrics->SetFlows(17);
   const std::string text = SerializeMetrics({metrics});
-  for (const char* it :
-       {"kumquatvalve_entry_decisions_total{verdict=\"overloaded\"} 1",
-        "kumquatvalve_sidecar_decisions_total{verdict=\"lost\"} 0",
-        "kumquatvalve_store_call_duration_seconds_bucket{method=\"GET\","
-        "outcome=\"answered\",le=\"0.01\"} 1",
-        "kumquatvalve_placement_report_age_seconds_bucket{le=\"0.1\"} 1",
-        "kumquatvalve_flows 17"}) {
+  const std::string call =
+      "kumquatvalve_store_call_duration_seconds_bucket{method=\"GET\","
+      "outcome=\"answered\",le=\"0.01\"} 1";
+  for (const std::string& it : {
+           std::string(
+               "kumquatvalve_entry_decisions_total{verdict=\"overloaded\"} 1"),
+           std::string(
+               "kumquatvalve_sidecar_decisions_total{verdict=\"lost\"} 0"),
+           call,
+           std::string("kumquatvalve_placement_report_age_seconds_bucket{le="
+                       "\"0.1\"} 1"),
+           std::string("kumquatvalve_flows 17"),
+       }) {
     INFO(it << " in\n" << text);
     CHECK(text.find(it) != std::string::npos);
   }
--- a/packages/process/test/store_watcher_test.cc
+++ b/packages/process/test/store_watcher_test.cc
@@ -51,7 +51,7 @@
       at_end();
       return std::nullopt;
     }
-    const std::optional<T> answer = script->front();
+    std::optional<T> answer = script->front();
     script->pop_front();
     return answer;
   }
