Read changes of upstream records with one call in 250 ms

Change: after a change an entry instance waits 250 ms before it watches upstream records again, and one such watch waits 10 s. The desired state keeps 80 ms and 2.5 s.

--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -238,7 +238,7 @@
   static constexpr size_t kMaxKeptPackets = 8;
   static constexpr size_t kMaxSearches = 4096;
   // A record that a sidecar wrote is known here within this time while the
-  // store answers: 0.4 s for a slow store's answer and 80 ms for gathering.
+  // store answers: 250 ms for gathering and a few milliseconds for a call.
   static constexpr Milliseconds kDenialTime{500};
   // A caller sends again at most 1.6 s after the last packet.
   static constexpr Milliseconds kDenialLife{4000};
--- a/packages/process/include/kumquatvalve/process/store_watcher.h
+++ b/packages/process/include/kumquatvalve/process/store_watcher.h
@@ -32,16 +32,21 @@
     std::function<void()> regained;
   };
 
+  struct Timing {
+    /// How long one watch waits. A store that has dropped its history may leave
+    /// a waiting watch without an answer, so this is also how late a change can
+    /// be noticed.
+    std::chrono::milliseconds watch{0};
+    /// Changes that follow each other this closely are read with one call.
+    std::chrono::milliseconds gather{0};
+  };
+
   /// `api` must outlive the watcher.
-  /// @param watch_timeout how long one watch waits. A store that has dropped
-  ///   its history may leave a waiting watch without an answer, so this is
-  ///   also how late a change can be noticed.
-  StoreWatcher(A* api, std::string prefix,
-               std::chrono::milliseconds watch_timeout, Listener listener,
+  StoreWatcher(A* api, std::string prefix, Timing timing, Listener listener,
                uint64_t seed)
       : api_(api),
         prefix_(std::move(prefix)),
-        watch_timeout_(watch_timeout),
+        timing_(timing),
         listener_(std::move(listener)),
         pause_(seed) {}
 
@@ -70,11 +75,6 @@
   }
 
  private:
-  using Milliseconds = std::chrono::milliseconds;
-
-  // Changes that follow each other this closely are read together.
-  static constexpr Milliseconds kGather{80};
-
   bool List(request::Failure* failure) {
     auto list = api_->List(prefix_, failure);
     if (!list) {
@@ -92,7 +92,7 @@
   }
 
   bool Watch(request::Failure* failure) {
-    auto answer = api_->Watch(prefix_, since_, watch_timeout_, failure);
+    auto answer = api_->Watch(prefix_, since_, timing_.watch, failure);
     if (!answer) {
       return false;
     }
@@ -105,7 +105,7 @@
     }
     if (answer->snapshot || !answer->events.empty()) {
       listener_.changed(objects_);
-      std::this_thread::sleep_for(kGather);
+      std::this_thread::sleep_for(timing_.gather);
     }
     return true;
   }
@@ -142,7 +142,7 @@
 
   A* api_;
   std::string prefix_;
-  std::chrono::milliseconds watch_timeout_;
+  Timing timing_;
   Listener listener_;
   RetryPause pause_;
   Objects objects_;
--- a/packages/process/test/store_watcher_test.cc
+++ b/packages/process/test/store_watcher_test.cc
@@ -81,7 +81,7 @@
   int regained = 0;
   Watcher watcher{&store,
                   "config/",
-                  std::chrono::milliseconds(2500),
+                  {.watch = std::chrono::milliseconds(2500)},
                   {[this](const Watcher::Objects& it) { seen.push_back(it); },
                    [this](const Failure&) { ++lost; }, [this] { ++regained; }},
                   1};
