Bound an entry instance's memory for flows; remove unused state

Cause: reading the change as a newcomer: the limit of remembered flows was only checked, not kept, when every flow was recent; copies of first packets, two times and a route name were kept and never read; open flows were counted for every report.

Change: at the limit an old flow is forgotten, since its sidecar still knows it; the unused members go; open flows are counted once a tick.

--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -167,10 +167,7 @@
     }
     Flow& flow = it->second;
     flow.last_packet = now;
-    if (!flow.open) {
-      flow.open = true;
-      flow.first_packet.clear();
-    }
+    flow.open = true;
     flow.ended = flow.ended || packet.fin || packet.rst;
     Forward(flow.holder, packet.bytes, {}, now);
   }
@@ -242,8 +239,8 @@
   static constexpr Milliseconds kDenialTime{500};
   // A caller sends again at most 1.6 s after the last packet.
   static constexpr Milliseconds kDenialLife{4000};
-  // A flow is offered to at most this many upstreams: an offer takes about
-  // 1 ms, and one that none of four takes meets an overload.
+  // Offers of one flow at most: an offer takes about 1 ms, and a flow that was
+  // returned so often meets an overload or a service that is leaving.
   static constexpr size_t kMaxOffers = 5;
   // After this many offers the flow waits where it is placed.
   static constexpr size_t kQueueFullOffers = 3;
@@ -272,18 +269,16 @@
     bool open = false;
     bool ended = false;
     TimePoint last_packet;
-    TimePoint placed_at;
-    /// Sidecars that the first packet was offered to, and those of them that
-    /// may still have it or that do not take flows.
+    /// Sidecars that the first packet was offered to.
     std::vector<request::Endpoint> offered;
+    /// Those of them that may still have it or that take no flows.
     std::vector<request::Endpoint> excluded;
     size_t offers = 0;
+    /// Offers that the sidecar returned.
     size_t returned = 0;
     /// Two upstreams may have answered the first packet.
     bool twice = false;
 
-    std::vector<std::byte> first_packet;
-
     bool Ambiguous() const { return twice && !open; }
   };
 
@@ -295,7 +290,6 @@
     size_t denied = 0;
     std::vector<request::Endpoint> unsure;
     bool probed = false;
-    std::string route;
   };
 
   request::ServiceTag TagOf(const request::Endpoint& sidecar) const {
@@ -341,16 +335,18 @@
                  const version::Route& route, TimePoint now) {
     if (flows_.size() >= config_.max_flows) {
       ExpireFlows(now);
+      if (flows_.size() >= config_.max_flows) {
+        // Its sidecar still knows it.
+        flows_.erase(flows_.begin());
+      }
     }
     Flow flow;
     flow.caller_isn = packet.sequence;
-    flow.placed_at = now;
     flow.last_packet = now;
-    flow.first_packet.assign(packet.bytes.begin(), packet.bytes.end());
     Offer(flow, packet, route, EntryVerdict::kPlaced, now);
   }
 
-  // Sends a first packet to the best upstream that it was not offered to yet.
+  // Sends a first packet to the best upstream that is not excluded.
   void Offer(Flow flow, const request::ParsedPacket& packet,
              const version::Route& route, EntryVerdict verdict, TimePoint now) {
     EntryDecision decision;
@@ -369,7 +365,7 @@
     flow.excluded.push_back(flow.holder);
     ++flow.offers;
     const bool final_offer = offered_before || flow.offers >= kQueueFullOffers;
-    view->OnPlaced(now);
+    view->OnPlaced();
     decision.verdict = verdict;
     decision.flow = packet.flow;
     decision.route = &route;
@@ -429,7 +425,7 @@
         if (view.tag() == share->tag && !tried &&
             view.MayTake(now, last_resort)) {
           views.push_back(&view);
-          candidates.push_back(view.Candidate(now));
+          candidates.push_back(view.Candidate());
         }
       }
       if (!views.empty()) {
@@ -529,7 +525,6 @@
       return;
     }
     search.since = now;
-    search.route = route.name;
     request::HopMessage message;
     message.kind = request::HopKind::kLocate;
     message.flow = packet.flow;
@@ -550,7 +545,6 @@
     flow.open = true;
     flow.twice = false;
     flow.last_packet = now;
-    flow.first_packet.clear();
     const auto it = searches_.find(key);
     if (it == searches_.end()) {
       return;
--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -142,7 +142,7 @@
       return;
     }
     if (it == flows_.end()) {
-      OnUnknownFlow(entry, message, packet, now);
+      OnUnknownFlow(entry, packet, now);
       return;
     }
     OnKnownFlow(entry, &it->second, packet, now);
@@ -225,6 +225,7 @@
   /// To be called every `kTick`.
   void OnTick(TimePoint now) {
     CheckResponsive(now);
+    load_.open_flows = static_cast<uint32_t>(CountOpen());
     for (auto& [entry, state] : entries_) {
       if (state.report_due && now - state.reported_at >= kReportPeriod) {
         SendReport(entry);
@@ -242,7 +243,6 @@
   static constexpr std::chrono::milliseconds kTick{50};
 
   size_t flows() const { return flows_.size(); }
-  size_t open_flows() const { return CountOpen(); }
   const request::UpstreamLoad& load() const { return load_; }
   const UpstreamIdentity& identity() const { return identity_; }
   bool heard_entries() const { return !entries_.empty(); }
@@ -382,7 +382,6 @@
   }
 
   void OnUnknownFlow(const request::Endpoint& entry,
-                     const request::HopMessage& /*message*/,
                      const request::ParsedPacket& packet, TimePoint now) {
     if (known_from_start_ || denied_.contains(packet.flow)) {
       DenyFlow(entry, packet.flow);
@@ -518,7 +517,6 @@
   }
 
   void SendReport(const request::Endpoint& entry) {
-    load_.open_flows = static_cast<uint32_t>(CountOpen());
     request::HopMessage message;
     message.kind = request::HopKind::kLoad;
     message.service = tag_;
--- a/packages/connection/include/kumquatvalve/connection/upstream_view.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_view.h
@@ -27,7 +27,8 @@
   void OnHeard(TimePoint now);
   /// A message that the sidecar answers with a report was sent.
   void OnSent(TimePoint now);
-  void OnPlaced(TimePoint now);
+  /// A new flow was sent there.
+  void OnPlaced();
   void OnReturned(request::ReturnReason reason, TimePoint now);
   void OnGreeted(TimePoint now);
 
@@ -43,7 +44,7 @@
 
   bool GreetingDue(TimePoint now, std::chrono::milliseconds period) const;
 
-  PlacementCandidate Candidate(TimePoint now) const;
+  PlacementCandidate Candidate() const;
 
   std::chrono::milliseconds ReportAge(TimePoint now) const;
 
--- a/packages/connection/src/upstream_view.cc
+++ b/packages/connection/src/upstream_view.cc
@@ -71,7 +71,7 @@
   }
 }
 
-void UpstreamView::OnPlaced(TimePoint /*now*/) { ++placed_since_report_; }
+void UpstreamView::OnPlaced() { ++placed_since_report_; }
 
 void UpstreamView::OnReturned(request::ReturnReason reason, TimePoint now) {
   switch (reason) {
@@ -125,7 +125,7 @@
   return greeted_at_ == TimePoint() || now - last >= period;
 }
 
-PlacementCandidate UpstreamView::Candidate(TimePoint /*now*/) const {
+PlacementCandidate UpstreamView::Candidate() const {
   PlacementCandidate candidate;
   candidate.slots =
       std::max<double>(1, load_.slots != 0 ? load_.slots : record_.slots);
--- a/packages/connection/test/entry_router_test.cc
+++ b/packages/connection/test/entry_router_test.cc
@@ -483,5 +483,24 @@
   CHECK(f.sink.resets.size() == 1);
 }
 
+TEST_CASE("entry_router: memory for flows is bounded and no flow is refused") {
+  Fixture f;
+  // The fixture's router remembers 1,000 flows.
+  for (uint16_t i = 1; i <= 1500; ++i) {
+    auto packet = f.Make(i);
+    packet.syn = true;
+    const std::vector<std::byte> buf(36);
+    packet.bytes = buf;
+    f.router.OnCallerPacket(packet, f.now);
+    // Reports that the flows have ended.
+    for (int n = 1; n <= 3; ++n) {
+      f.Report(n, {});
+    }
+  }
+  CHECK(f.router.flows() == 1000);
+  CHECK(f.sink.resets.empty());
+  CHECK(f.sink.Of(HopKind::kPacket).size() == 1500);
+}
+
 }  // namespace
 }  // namespace kumquatvalve::connection
--- a/packages/process/include/kumquatvalve/process/traffic_loop.h
+++ b/packages/process/include/kumquatvalve/process/traffic_loop.h
@@ -100,8 +100,9 @@
   SendBatch batch_;
 };
 
-/// Notices that a process did not run for a while: its clock went on while
-/// it was paused or had no processor.
+/// Notices that a process did not run for a while. The steady clock stands
+/// still while an instance is suspended, so the time of day is looked at too; a
+/// step of that clock is taken for a pause, which costs one call to the store.
 class PauseDetector {
  public:
   /// @return whether the process did not run for longer than `kPause`.
