--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -95,10 +95,11 @@
   UpstreamGate(const UpstreamGate&) = delete;
   UpstreamGate& operator=(const UpstreamGate&) = delete;
 
-  /// The upstream described itself. A later boot forgets the flows of the one
-  /// before.
+  /// The upstream described itself. A later incarnation forgets the flows of
+  /// the one before.
   void OnIdentity(const UpstreamIdentity& identity, TimePoint now) {
-    if (identity.boot_ms != identity_.boot_ms && identity_.boot_ms != 0) {
+    if (identity.incarnation_ms != identity_.incarnation_ms &&
+        identity_.incarnation_ms != 0) {
       flows_.clear();
       denied_.clear();
       load_.in_progress = 0;
@@ -106,12 +107,12 @@
       first_unanswered_.reset();
       load_.unresponsive = false;
       known_from_start_ = true;
-    } else if (identity_.boot_ms == 0) {
-      known_from_start_ = identity.boot_ms + kHeadStart > started_ms_;
+    } else if (identity_.incarnation_ms == 0) {
+      known_from_start_ = identity.incarnation_ms + kHeadStart > started_ms_;
     }
     identity_ = identity;
     tag_ = request::ServiceTagOf(identity.service);
-    load_.boot_ms = identity.boot_ms;
+    load_.incarnation_ms = identity.incarnation_ms;
     load_.slots = static_cast<uint16_t>(identity.slots);
     load_.draining = identity.draining;
     ReportToAll(now);
@@ -568,7 +569,7 @@
   uint64_t started_ms_;
   S* sink_;
   request::UpstreamLoad load_;
-  /// This process has seen every flow of the upstream's boot.
+  /// This process has seen every flow of the upstream's incarnation.
   bool known_from_start_ = false;
   absl::flat_hash_map<request::FlowKey, Flow, request::FlowKeyHash> flows_;
   /// Flows that the upstream rejected, with the time of that.
--- a/packages/connection/src/identity_tracker.cc
+++ b/packages/connection/src/identity_tracker.cc
@@ -4,23 +4,26 @@
 
 bool IdentityTracker::OnHeartbeat(const UpstreamHeartbeat& heartbeat) {
   const UpstreamIdentity& identity = heartbeat.identity;
-  if (identity.boot_ms < newest_boot_ms_) {
+  if (identity.incarnation_ms < newest_incarnation_ms_) {
     return false;
   }
-  const bool same_boot = identity.boot_ms == newest_boot_ms_;
-  if (same_boot && (departed_ || heartbeat.sequence <= sequence_)) {
+  const bool same_incarnation =
+      identity.incarnation_ms == newest_incarnation_ms_;
+  if (same_incarnation && (departed_ || heartbeat.sequence <= sequence_)) {
     return false;
   }
-  newest_boot_ms_ = identity.boot_ms;
+  newest_incarnation_ms_ = identity.incarnation_ms;
   sequence_ = heartbeat.sequence;
   departed_ = false;
   current_ = identity;
   return true;
 }
 
-bool IdentityTracker::OnDeparture(std::string_view instance, uint64_t boot_ms) {
-  const bool current = current_ && current_->instance == instance &&
-                       (boot_ms == 0 || boot_ms == current_->boot_ms);
+bool IdentityTracker::OnDeparture(std::string_view instance,
+                                  uint64_t incarnation_ms) {
+  const bool current =
+      current_ && current_->instance == instance &&
+      (incarnation_ms == 0 || incarnation_ms == current_->incarnation_ms);
   if (current) {
     departed_ = true;
     current_.reset();
--- a/packages/connection/src/upstream_view.cc
+++ b/packages/connection/src/upstream_view.cc
@@ -41,7 +41,8 @@
 
 bool UpstreamView::Same(const version::UpstreamRecord& record) const {
   return record_.sidecar == record.sidecar &&
-         record_.service == record.service && record_.boot_ms == record.boot_ms;
+         record_.service == record.service &&
+         record_.incarnation_ms == record.incarnation_ms;
 }
 
 void UpstreamView::OnRecord(const version::UpstreamRecord& record,
--- a/packages/connection/test/entry_router_test.cc
+++ b/packages/connection/test/entry_router_test.cc
@@ -67,7 +67,7 @@
   record.service = request::ServiceName(service);
   record.zone = request::AvailabilityZone(zone);
   record.instance = "i-" + std::to_string(i);
-  record.boot_ms = 1000;
+  record.incarnation_ms = 1000;
   record.slots = 4;
   return record;
 }
--- a/packages/connection/test/identity_tracker_test.cc
+++ b/packages/connection/test/identity_tracker_test.cc
@@ -5,9 +5,10 @@
 namespace kumquatvalve::connection {
 namespace {
 
-UpstreamHeartbeat Heartbeat(uint64_t boot_ms, uint64_t sequence,
+UpstreamHeartbeat Heartbeat(uint64_t incarnation_ms, uint64_t sequence,
                             bool draining = false) {
-  return {{"patio", "i-" + std::to_string(boot_ms), boot_ms, 5, draining},
+  return {{"patio", "i-" + std::to_string(incarnation_ms), incarnation_ms, 5,
+           draining},
           sequence};
 }
 
@@ -20,19 +21,20 @@
 }
 
 TEST_CASE(
-    "identity_tracker: a heartbeat of an earlier boot does not replace the "
+    "identity_tracker: a heartbeat of an earlier incarnation does not replace "
+    "the "
     "upstream that took its address") {
   IdentityTracker tracker;
   CHECK(tracker.OnHeartbeat(Heartbeat(200, 1)));
   CHECK_FALSE(tracker.OnHeartbeat(Heartbeat(100, 9, true)));
-  CHECK(tracker.current()->boot_ms == 200);
+  CHECK(tracker.current()->incarnation_ms == 200);
 }
 
-TEST_CASE("identity_tracker: a boot that counts anew is taken") {
+TEST_CASE("identity_tracker: an incarnation that counts anew is taken") {
   IdentityTracker tracker;
   CHECK(tracker.OnHeartbeat(Heartbeat(100, 50)));
   CHECK(tracker.OnHeartbeat(Heartbeat(200, 1)));
-  CHECK(tracker.current()->boot_ms == 200);
+  CHECK(tracker.current()->incarnation_ms == 200);
 }
 
 TEST_CASE("identity_tracker: only the current upstream departs, and for good") {
--- a/packages/connection/test/upstream_gate_test.cc
+++ b/packages/connection/test/upstream_gate_test.cc
@@ -65,10 +65,12 @@
 constexpr uint64_t kOldUpstream = 50000;
 
 struct Fixture {
-  explicit Fixture(uint64_t boot_ms = kYoungUpstream) { Boot(boot_ms); }
+  explicit Fixture(uint64_t incarnation_ms = kYoungUpstream) {
+    Start(incarnation_ms);
+  }
 
-  void Boot(uint64_t boot_ms, bool draining = false) {
-    gate.OnIdentity({"patio", "i-1", boot_ms, 2, draining}, now);
+  void Start(uint64_t incarnation_ms, bool draining = false) {
+    gate.OnIdentity({"patio", "i-1", incarnation_ms, 2, draining}, now);
   }
 
   static request::FlowKey Key(uint16_t port) {
@@ -173,7 +175,7 @@
     "upstream_gate: a draining upstream keeps its flows and gets no new one") {
   Fixture f;
   f.Open(1);
-  f.Boot(kYoungUpstream, true);
+  f.Start(kYoungUpstream, true);
   CHECK(f.sink.last(HopKind::kLoad).load.draining);
   const int before = f.sink.delivered;
   f.FromCaller(f.Syn(2));
@@ -255,11 +257,11 @@
   CHECK(other.sink.resets.empty());
 }
 
-TEST_CASE("upstream_gate: a new boot holds no flow of the one before") {
+TEST_CASE("upstream_gate: a new incarnation holds no flow of the one before") {
   Fixture f;
   f.Open(1);
   f.FromCaller(f.Data(1));
-  f.Boot(kYoungUpstream + 1);
+  f.Start(kYoungUpstream + 1);
   CHECK(f.gate.flows() == 0);
   CHECK(f.gate.load().in_progress == 0);
   f.Locate(1);
--- a/packages/process/include/kumquatvalve/process/sidecar_node.h
+++ b/packages/process/include/kumquatvalve/process/sidecar_node.h
@@ -189,7 +189,7 @@
         {"ready", Ready()},
         {"upstream", gate_.identity().instance},
         {"service", gate_.identity().service},
-        {"boot_ms", gate_.identity().boot_ms},
+        {"incarnation_ms", gate_.identity().incarnation_ms},
         {"draining", load.draining},
         {"unresponsive", load.unresponsive},
         {"slots", load.slots},
--- a/packages/request/include/kumquatvalve/request/hop_message.h
+++ b/packages/request/include/kumquatvalve/request/hop_message.h
@@ -65,7 +65,7 @@
 /// What a sidecar tells of its upstream.
 struct UpstreamLoad {
   /// Start of the upstream, Unix time in milliseconds; 0 when unknown.
-  uint64_t boot_ms = 0;
+  uint64_t incarnation_ms = 0;
   /// Requests that the upstream works on at once.
   uint16_t slots = 0;
   /// Requests handed over whose answer has not begun.
--- a/packages/request/src/hop_message.cc
+++ b/packages/request/src/hop_message.cc
@@ -133,7 +133,7 @@
     writer.Put(message.acknowledgment);
   }
   if (message.kind == HopKind::kLoad) {
-    writer.Put(message.load.boot_ms);
+    writer.Put(message.load.incarnation_ms);
     writer.Put(message.load.slots);
     writer.Put(message.load.in_progress);
     writer.Put(message.load.opening);
@@ -162,7 +162,7 @@
     message.acknowledgment = reader.Get<uint32_t>();
   }
   if (message.kind == HopKind::kLoad) {
-    message.load.boot_ms = reader.Get<uint64_t>();
+    message.load.incarnation_ms = reader.Get<uint64_t>();
     message.load.slots = reader.Get<uint16_t>();
     message.load.in_progress = reader.Get<uint16_t>();
     message.load.opening = reader.Get<uint16_t>();
--- a/packages/version/include/kumquatvalve/version/route_map.h
+++ b/packages/version/include/kumquatvalve/version/route_map.h
@@ -71,7 +71,7 @@
   /// Name that the upstream gave itself.
   std::string instance;
   /// Start of the upstream, Unix time in milliseconds.
-  uint64_t boot_ms = 0;
+  uint64_t incarnation_ms = 0;
   uint32_t slots = 0;
   bool draining = false;
 
