--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -110,7 +110,7 @@
   EntryRouter(const EntryRouter&) = delete;
   EntryRouter& operator=(const EntryRouter&) = delete;
 
-  /// Puts a version of the desired state in force; an older one is ignored.
+  /// Puts a version of the configuration in force; an older one is ignored.
   /// @return whether it is in force now.
   bool OnRoutes(std::shared_ptr<const version::RouteMap> routes) {
     if (routes_ != nullptr && routes->revision < routes_->revision) {
--- a/packages/version/include/kumquatvalve/version/route_map.h
+++ b/packages/version/include/kumquatvalve/version/route_map.h
@@ -45,7 +45,7 @@
   friend bool operator==(const Route&, const Route&) = default;
 };
 
-/// One version of the desired state, as far as packets depend on it.
+/// One version of the configuration, as far as packets depend on it.
 struct RouteMap {
   /// Store revision of the object; a larger one is newer.
   uint64_t revision = 0;
