Split the entry router's types and its set of upstreams from its decisions

Change: entry_decision.h has what is reported, upstream_set.h the upstreams and who may take a flow. No behaviour changes.

--- /dev/null
+++ b/packages/connection/include/kumquatvalve/connection/entry_decision.h
@@ -0,0 +1,86 @@
+#ifndef KUMQUATVALVE_CONNECTION_ENTRY_DECISION_H_
+#define KUMQUATVALVE_CONNECTION_ENTRY_DECISION_H_
+
+#include <array>
+#include <chrono>
+#include <concepts>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string_view>
+
+#include "kumquatvalve/request/flow_key.h"
+#include "kumquatvalve/request/hop_message.h"
+#include "kumquatvalve/request/packet.h"
+#include "kumquatvalve/version/route_map.h"
+
+namespace kumquatvalve::connection {
+
+/// Why an entry instance decided as it did about a flow; for logs and counters.
+enum class EntryVerdict : uint8_t {
+  /// A new flow was sent to an upstream.
+  kPlaced,
+  /// A new flow was sent to another upstream after the first did not take it.
+  kPlacedAgain,
+  /// No route has the address.
+  kNoRoute,
+  /// The route has no upstream that may take a flow.
+  kNoUpstream,
+  /// Every upstream's expected wait is too long.
+  kOverloaded,
+  /// Every upstream that was tried returned the flow.
+  kNotTaken,
+  /// The holder of a flow that this instance did not know was found.
+  kLocated,
+  /// No sidecar holds the flow, or none answered in time.
+  kNotLocated,
+  /// The route of an open flow was removed.
+  kRouteRemoved,
+  /// No upstream holds an open flow any more.
+  kFlowLost,
+};
+
+inline constexpr size_t kEntryVerdicts = 10;
+
+constexpr std::string_view Name(EntryVerdict verdict) {
+  constexpr std::array<std::string_view, kEntryVerdicts> kNames = {
+      "placed",    "placed_again", "no_route",    "no_upstream",   "overloaded",
+      "not_taken", "located",      "not_located", "route_removed", "flow_lost"};
+  return kNames[static_cast<size_t>(verdict)];
+}
+
+/// A decision about a flow with the inputs that led to it.
+struct EntryDecision {
+  EntryVerdict verdict = EntryVerdict::kPlaced;
+  request::FlowKey flow;
+  /// Null when no route has the address.
+  const version::Route* route = nullptr;
+  /// The chosen sidecar, if any.
+  std::optional<request::Endpoint> sidecar;
+  /// Age of the load report that the choice rests on.
+  std::chrono::milliseconds report_age{0};
+  std::chrono::microseconds expected_wait{0};
+  uint64_t route_revision = 0;
+  request::ReturnReason reason = request::ReturnReason::kNone;
+};
+
+/// What an entry router lets happen.
+template <typename S>
+concept EntrySink = requires(S sink, const request::Endpoint& to,
+                             const request::HopMessage& message,
+                             std::span<const std::byte> packet,
+                             const request::ParsedPacket& parsed,
+                             const EntryDecision& decision) {
+  // Sends a message, followed by a packet or nothing, to a sidecar.
+  sink.Send(to, message, packet);
+  // Resets the flow of a caller's packet.
+  sink.Reset(parsed);
+  // Reads a packet again that was kept as bytes.
+  { sink.Parse(packet) } -> std::same_as<std::optional<request::ParsedPacket>>;
+  sink.Decided(decision);
+};
+
+}  // namespace kumquatvalve::connection
+
+#endif  // KUMQUATVALVE_CONNECTION_ENTRY_DECISION_H_
--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <concepts>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -17,8 +16,9 @@
 #include <vector>
 
 #include "kumquatvalve/connection/admission_policy.h"
+#include "kumquatvalve/connection/entry_decision.h"
 #include "kumquatvalve/connection/placement.h"
-#include "kumquatvalve/connection/upstream_view.h"
+#include "kumquatvalve/connection/upstream_set.h"
 #include "kumquatvalve/request/flow_key.h"
 #include "kumquatvalve/request/hop_message.h"
 #include "kumquatvalve/request/packet.h"
@@ -26,70 +26,6 @@
 
 namespace kumquatvalve::connection {
 
-/// Why an entry instance decided as it did about a flow; for logs and counters.
-enum class EntryVerdict : uint8_t {
-  /// A new flow was sent to an upstream.
-  kPlaced,
-  /// A new flow was sent to another upstream after the first did not take it.
-  kPlacedAgain,
-  /// No route has the address.
-  kNoRoute,
-  /// The route has no upstream that may take a flow.
-  kNoUpstream,
-  /// Every upstream's expected wait is too long.
-  kOverloaded,
-  /// Every upstream that was tried returned the flow.
-  kNotTaken,
-  /// The holder of a flow that this instance did not know was found.
-  kLocated,
-  /// No sidecar holds the flow, or none answered in time.
-  kNotLocated,
-  /// The route of an open flow was removed.
-  kRouteRemoved,
-  /// No upstream holds an open flow any more.
-  kFlowLost,
-};
-
-inline constexpr size_t kEntryVerdicts = 10;
-
-constexpr std::string_view Name(EntryVerdict verdict) {
-  constexpr std::array<std::string_view, kEntryVerdicts> kNames = {
-      "placed",    "placed_again", "no_route",    "no_upstream",   "overloaded",
-      "not_taken", "located",      "not_located", "route_removed", "flow_lost"};
-  return kNames[static_cast<size_t>(verdict)];
-}
-
-/// A decision about a flow with the inputs that led to it.
-struct EntryDecision {
-  EntryVerdict verdict = EntryVerdict::kPlaced;
-  request::FlowKey flow;
-  /// Null when no route has the address.
-  const version::Route* route = nullptr;
-  /// The chosen sidecar, if any.
-  std::optional<request::Endpoint> sidecar;
-  /// Age of the load report that the choice rests on.
-  std::chrono::milliseconds report_age{0};
-  std::chrono::microseconds expected_wait{0};
-  uint64_t route_revision = 0;
-  request::ReturnReason reason = request::ReturnReason::kNone;
-};
-
-/// What an entry router lets happen.
-template <typename S>
-concept EntrySink = requires(S sink, const request::Endpoint& to,
-                             const request::HopMessage& message,
-                             std::span<const std::byte> packet,
-                             const request::ParsedPacket& parsed,
-                             const EntryDecision& decision) {
-  // Sends a message, followed by a packet or nothing, to a sidecar.
-  sink.Send(to, message, packet);
-  // Resets the flow of a caller's packet.
-  sink.Reset(parsed);
-  // Reads a packet again that was kept as bytes.
-  { sink.Parse(packet) } -> std::same_as<std::optional<request::ParsedPacket>>;
-  sink.Decided(decision);
-};
-
 struct EntryRouterConfig {
   request::AvailabilityZone zone;
   /// Flows remembered at most; beyond it the holder of a flow is asked for.
@@ -105,7 +41,10 @@
  public:
   /// `sink` must outlive the router.
   EntryRouter(EntryRouterConfig config, S* sink)
-      : config_(std::move(config)), random_(config_.seed), sink_(sink) {}
+      : config_(std::move(config)),
+        random_(config_.seed),
+        sink_(sink),
+        upstreams_(config_.zone) {}
 
   EntryRouter(const EntryRouter&) = delete;
   EntryRouter& operator=(const EntryRouter&) = delete;
@@ -126,16 +65,7 @@
   /// Replaces the upstream records.
   void OnUpstreams(std::span<const version::UpstreamRecord> records,
                    TimePoint now) {
-    std::map<request::Endpoint, UpstreamView> next;
-    for (const version::UpstreamRecord& it : records) {
-      const auto old = upstreams_.find(it.sidecar);
-      UpstreamView view = old != upstreams_.end() && old->second.Same(it)
-                              ? old->second
-                              : UpstreamView(it, now);
-      view.OnRecord(it, it.zone == config_.zone);
-      next.emplace(it.sidecar, std::move(view));
-    }
-    upstreams_ = std::move(next);
+    upstreams_.Replace(records, now);
     upstreams_known_ = true;
     upstreams_changed_at_ = now;
     GreetUpstreams(now);
@@ -176,8 +106,7 @@
   void OnHopMessage(const request::Endpoint& from,
                     const request::HopMessage& message,
                     std::span<const std::byte> packet, TimePoint now) {
-    const auto it = upstreams_.find(from);
-    UpstreamView* view = it == upstreams_.end() ? nullptr : &it->second;
+    UpstreamView* view = upstreams_.Find(from);
     if (view != nullptr) {
       view->OnHeard(now);
     }
@@ -221,9 +150,7 @@
 
   size_t flows() const { return flows_.size(); }
   const version::RouteMap* routes() const { return routes_.get(); }
-  const std::map<request::Endpoint, UpstreamView>& upstreams() const {
-    return upstreams_;
-  }
+  const UpstreamSet& upstreams() const { return upstreams_; }
 
  private:
   using Milliseconds = std::chrono::milliseconds;
@@ -293,8 +220,8 @@
   };
 
   request::ServiceTag TagOf(const request::Endpoint& sidecar) const {
-    const auto it = upstreams_.find(sidecar);
-    return it == upstreams_.end() ? request::ServiceTag() : it->second.tag();
+    const UpstreamView* view = upstreams_.Find(sidecar);
+    return view == nullptr ? request::ServiceTag() : view->tag();
   }
 
   // Services that an address led to in earlier versions may still hold flows.
@@ -416,21 +343,10 @@
     if (share == nullptr) {
       return nullptr;
     }
-    std::vector<UpstreamView*> views;
+    const auto views = upstreams_.Takers(share->tag, excluded, now);
     std::vector<PlacementCandidate> candidates;
-    for (const bool last_resort : {false, true}) {
-      for (auto& [sidecar, view] : upstreams_) {
-        const bool tried = std::find(excluded.begin(), excluded.end(),
-                                     sidecar) != excluded.end();
-        if (view.tag() == share->tag && !tried &&
-            view.MayTake(now, last_resort)) {
-          views.push_back(&view);
-          candidates.push_back(view.Candidate());
-        }
-      }
-      if (!views.empty()) {
-        break;
-      }
+    for (const UpstreamView* it : views) {
+      candidates.push_back(it->Candidate());
     }
     PlacementSettings settings;
     settings.zone_cost = route.shape == version::TrafficShape::kBulk
@@ -453,8 +369,8 @@
   void OnFirstPacketCopy(Flow* flow, const request::ParsedPacket& packet,
                          const version::Route& route, TimePoint now) {
     flow->last_packet = now;
-    const auto it = upstreams_.find(flow->holder);
-    const bool alive = it != upstreams_.end() && it->second.MayTake(now, false);
+    const UpstreamView* view = upstreams_.Find(flow->holder);
+    const bool alive = view != nullptr && view->MayTake(now, false);
     if (flow->open || alive) {
       Forward(flow->holder, packet.bytes, {}, now);
       return;
@@ -470,9 +386,8 @@
     if (!packet || routes_ == nullptr) {
       return;
     }
-    const auto upstream = upstreams_.find(from);
-    if (upstream != upstreams_.end()) {
-      upstream->second.OnReturned(reason, now);
+    if (UpstreamView* view = upstreams_.Find(from); view != nullptr) {
+      view->OnReturned(reason, now);
     }
     const auto it = flows_.find(packet->flow);
     const version::Route* route = routes_->Find(packet->flow.service);
@@ -499,13 +414,7 @@
     for (const version::RouteShare& it : route.shares) {
       tags.push_back(it.tag);
     }
-    std::vector<request::Endpoint> sidecars;
-    for (const auto& [sidecar, view] : upstreams_) {
-      if (std::find(tags.begin(), tags.end(), view.tag()) != tags.end()) {
-        sidecars.push_back(sidecar);
-      }
-    }
-    return sidecars;
+    return upstreams_.SidecarsOf(tags);
   }
 
   // A packet of a flow that this instance did not place: the routers changed
@@ -532,7 +441,7 @@
     const auto sidecars = SidecarsOf(route, packet.flow.service);
     for (const request::Endpoint& sidecar : sidecars) {
       // Records of machines that are gone stay; their answers are not awaited.
-      search.asked += upstreams_.at(sidecar).Gone(now) ? 0 : 1;
+      search.asked += upstreams_.Find(sidecar)->Gone(now) ? 0 : 1;
       message.service = TagOf(sidecar);
       sink_->Send(sidecar, message, {});
     }
@@ -636,21 +545,21 @@
   void Forward(const request::Endpoint& sidecar,
                std::span<const std::byte> packet, ForwardOptions options,
                TimePoint now) {
-    const auto it = upstreams_.find(sidecar);
-    if (it == upstreams_.end()) {
+    UpstreamView* view = upstreams_.Find(sidecar);
+    if (view == nullptr) {
       return;
     }
     request::HopMessage message;
     message.kind = request::HopKind::kPacket;
-    message.service = it->second.tag();
+    message.service = view->tag();
     message.probe = options.probe;
     message.final_offer = options.final_offer;
-    it->second.OnSent(now);
+    view->OnSent(now);
     sink_->Send(sidecar, message, packet);
   }
 
   void GreetUpstreams(TimePoint now) {
-    for (auto& [sidecar, view] : upstreams_) {
+    for (auto& [sidecar, view] : upstreams_.views()) {
       if (view.GreetingDue(now, kHelloPeriod)) {
         request::HopMessage message;
         message.kind = request::HopKind::kHello;
@@ -710,7 +619,7 @@
   std::shared_ptr<const version::RouteMap> routes_;
   std::map<request::Endpoint, std::vector<request::ServiceTag>>
       earlier_services_;
-  std::map<request::Endpoint, UpstreamView> upstreams_;
+  UpstreamSet upstreams_;
   absl::flat_hash_map<request::FlowKey, Flow, request::FlowKeyHash> flows_;
   std::map<request::FlowKey, Search> searches_;
   /// Flows that every sidecar denied, with the time of the first denial.
--- a/packages/process/include/kumquatvalve/process/entry_node.h
+++ b/packages/process/include/kumquatvalve/process/entry_node.h
@@ -191,7 +191,7 @@
 
   void PublishGauges() {
     output_.metrics().SetFlows(router_.flows());
-    output_.metrics().SetUpstreams(router_.upstreams().size());
+    output_.metrics().SetUpstreams(router_.upstreams().views().size());
     if (router_.routes() != nullptr) {
       output_.metrics().SetRouteRevision(router_.routes()->revision);
     }
@@ -210,7 +210,7 @@
       status["routes"] = router_.routes()->routes.size();
     }
     status["upstreams"] = nlohmann::ordered_json::array();
-    for (const auto& [sidecar, view] : router_.upstreams()) {
+    for (const auto& [sidecar, view] : router_.upstreams().views()) {
       status["upstreams"].push_back(
           {{"sidecar", request::ToString(sidecar)},
            {"upstream", view.record().instance},
