Tell callers of a lost flow at its first packet, when the records are complete

A lost flow was reset at the second packet of its caller, half a second or more after the first. Callers send again after 0.2, 0.4, 0.8 and 1.6 s, so the second packet after the restart came when the limit of 3 s had passed. The wait was there because another instance may have placed the flow at an upstream whose record had not come here yet. Change: the search is kept until the upstream records were read from the store after it began; one read serves all searches, at most one in 250 ms. Then the caller is reset at once. Each sidecar's answer counts once: a late answer to an earlier search was counted as a second denial. Two checks are replaced by stricter ones: 'half a second of denials' by 'records read after the search began', which holds for any delay of records.

--- a/packages/connection/include/kumquatvalve/connection/entry_decision.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_decision.h
@@ -78,6 +78,8 @@
   sink.Reset(parsed);
   // Reads a packet again that was kept as bytes.
   { sink.Parse(packet) } -> std::same_as<std::optional<request::ParsedPacket>>;
+  // Reads the upstream records from the store at once; `OnUpstreams` follows.
+  sink.RefreshRecords();
   sink.Decided(decision);
 };
 
--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -17,6 +17,7 @@
 
 #include "kumquatvalve/connection/admission_policy.h"
 #include "kumquatvalve/connection/entry_decision.h"
+#include "kumquatvalve/connection/flow_search.h"
 #include "kumquatvalve/connection/placement.h"
 #include "kumquatvalve/connection/upstream_set.h"
 #include "kumquatvalve/request/flow_key.h"
@@ -63,17 +64,17 @@
   }
 
   /// Replaces the upstream records.
+  /// @param complete_at the records hold every change that the store had taken
+  ///   at this time.
   void OnUpstreams(std::span<const version::UpstreamRecord> records,
-                   TimePoint now) {
+                   TimePoint complete_at, TimePoint now) {
     upstreams_.Replace(records, now);
     upstreams_known_ = true;
-    upstreams_changed_at_ = now;
+    records_complete_at_ = std::max(records_complete_at_, complete_at);
     GreetUpstreams(now);
+    ContinueSearches(now);
   }
 
-  /// Whether the store answers, so that the upstream records are complete.
-  void OnStoreState(bool answers) { store_answers_ = answers; }
-
   /// A packet that came from the routers.
   void OnCallerPacket(const request::ParsedPacket& packet, TimePoint now) {
     if (routes_ == nullptr || !upstreams_known_) {
@@ -138,7 +139,13 @@
   /// To be called every `kTick`.
   void OnTick(TimePoint now) {
     GreetUpstreams(now);
-    ExpireSearches(now);
+    if (now >= next_search_check_) {
+      next_search_check_ = now + FlowSearch::kAnswerTime;
+      ContinueSearches(now);
+    }
+    if (records_wanted_) {
+      WantRecords(now);
+    }
     if (now >= next_sweep_) {
       next_sweep_ = now + kSweepPeriod;
       ExpireFlows(now);
@@ -155,17 +162,19 @@
  private:
   using Milliseconds = std::chrono::milliseconds;
 
-  // How long sidecars may take to answer a search; a caller retransmits after
-  // 200 ms and starts another one.
-  static constexpr Milliseconds kSearchTimeout{150};
-  // Packets kept while the holder of their flow is searched.
-  static constexpr size_t kMaxKeptPackets = 8;
+  // A caller sends again at most 1.6 s after the last packet and starts another
+  // search.
+  static constexpr Milliseconds kSearchLife{2000};
   static constexpr size_t kMaxSearches = 4096;
-  // A record that a sidecar wrote is known here within this time while the
-  // store answers: 250 ms for gathering and a few milliseconds for a call.
-  static constexpr Milliseconds kDenialTime{500};
-  // A caller sends again at most 1.6 s after the last packet.
-  static constexpr Milliseconds kDenialLife{4000};
+  // Packets kept for a search: 8 MB at most, in packets of 1,200 bytes.
+  static constexpr size_t kMostKeptPackets = 8;
+  static constexpr size_t kManySearches = 512;
+  // Upstream records are read again at most this often while lost flows wait
+  // for that.
+  static constexpr Milliseconds kRecordsPeriod{250};
+  // A caller that was told of the loss of its flow sends nothing more.
+  static constexpr Milliseconds kLostLife{4000};
+  static constexpr size_t kMostLost = 20000;
   // Offers of one flow at most: an offer takes about 1 ms, and a flow that was
   // returned so often meets an overload or a service that is leaving.
   static constexpr size_t kMaxOffers = 5;
@@ -209,15 +218,7 @@
     bool Ambiguous() const { return twice && !open; }
   };
 
-  // A search for the holder of a flow among the sidecars of its service.
-  struct Search {
-    TimePoint since;
-    std::vector<std::vector<std::byte>> packets;
-    size_t asked = 0;
-    size_t denied = 0;
-    std::vector<request::Endpoint> unsure;
-    bool probed = false;
-  };
+  using Searches = std::map<request::FlowKey, FlowSearch>;
 
   request::ServiceTag TagOf(const request::Endpoint& sidecar) const {
     const UpstreamView* view = upstreams_.Find(sidecar);
@@ -421,27 +422,35 @@
   // their mind, or this process is new.
   void Locate(const request::ParsedPacket& packet, const version::Route& route,
               TimePoint now) {
-    auto [it, inserted] = searches_.try_emplace(packet.flow);
-    Search& search = it->second;
-    if (search.packets.size() < kMaxKeptPackets) {
-      search.packets.emplace_back(packet.bytes.begin(), packet.bytes.end());
-    }
-    if (!inserted) {
+    if (lost_.contains(packet.flow)) {
+      ResetLost(packet);
       return;
     }
-    if (searches_.size() > kMaxSearches) {
+    const auto [it, inserted] = searches_.try_emplace(packet.flow, now);
+    FlowSearch& search = it->second;
+    search.Keep(packet.bytes,
+                searches_.size() > kManySearches ? 1 : kMostKeptPackets);
+    if (inserted && searches_.size() > kMaxSearches) {
       searches_.erase(it);
       return;
     }
-    search.since = now;
+    if (inserted || now - search.asked_at() >= FlowSearch::kAnswerTime) {
+      Ask(&search, packet, SidecarsOf(route, packet.flow.service), now);
+    }
+  }
+
+  // Asks sidecars for a flow, but for those that denied it.
+  void Ask(FlowSearch* search, const request::ParsedPacket& packet,
+           std::span<const request::Endpoint> sidecars, TimePoint now) {
     request::HopMessage message;
     message.kind = request::HopKind::kLocate;
     message.flow = packet.flow;
     message.acknowledgment = packet.acknowledgment;
-    const auto sidecars = SidecarsOf(route, packet.flow.service);
     for (const request::Endpoint& sidecar : sidecars) {
-      // Records of machines that are gone stay; their answers are not awaited.
-      search.asked += upstreams_.Find(sidecar)->Gone(now) ? 0 : 1;
+      if (search->Denied(sidecar)) {
+        continue;
+      }
+      search->Ask(sidecar, now);
       message.service = TagOf(sidecar);
       sink_->Send(sidecar, message, {});
     }
@@ -458,14 +467,13 @@
     if (it == searches_.end()) {
       return;
     }
-    const Search search = std::move(it->second);
+    const FlowSearch search = std::move(it->second);
     searches_.erase(it);
-    for (size_t i = 0; i < search.packets.size(); ++i) {
-      const auto& packet = search.packets[i];
+    for (size_t i = 0; i < search.packets().size(); ++i) {
       // A probe carried the first packet to this sidecar already.
-      const bool sent = search.probed && i == 0;
+      const bool sent = search.probed() && i == 0;
       if (!sent) {
-        Forward(from, packet, {}, now);
+        Forward(from, search.packets()[i], {}, now);
       }
     }
     EntryDecision decision;
@@ -487,58 +495,79 @@
     if (it == searches_.end()) {
       return;
     }
-    Search& search = it->second;
-    ++search.denied;
-    ProbeUnsure(&search, now);
-    if (search.denied >= search.asked && search.asked != 0) {
-      const std::vector<std::byte> packet = std::move(search.packets.front());
-      searches_.erase(it);
-      OnDeniedByAll(key, packet, now);
-    }
-  }
-
-  // Every sidecar of the service says that its upstream does not hold the
-  // flow. The caller is told, so that it can try again, once that was so for
-  // long enough that a record of a new upstream would have come meanwhile.
-  void OnDeniedByAll(const request::FlowKey& key,
-                     std::span<const std::byte> bytes, TimePoint now) {
-    const auto [it, first] = denied_.try_emplace(key, now);
-    const bool long_enough = now - it->second >= kDenialTime;
-    const bool records_unchanged = upstreams_changed_at_ <= it->second;
-    if (first || !long_enough || !records_unchanged || !store_answers_) {
-      if (long_enough) {
-        it->second = now;
-      }
-      Report(EntryVerdict::kNotLocated, key, routes_->Find(key.service));
-      return;
-    }
-    denied_.erase(it);
-    if (const auto packet = sink_->Parse(bytes)) {
-      sink_->Reset(*packet);
-    }
-    Report(EntryVerdict::kFlowLost, key, routes_->Find(key.service));
+    it->second.OnDenied(from);
+    Continue(it, now);
   }
 
   void OnUnsure(const request::Endpoint& from, const request::FlowKey& key,
                 TimePoint now) {
     const auto it = searches_.find(key);
     if (it != searches_.end()) {
-      it->second.unsure.push_back(from);
-      ProbeUnsure(&it->second, now);
+      it->second.OnUnsure(from);
+      Continue(it, now);
+    }
+  }
+
+  // Takes the next step of a search, which may end it.
+  void Continue(typename Searches::iterator it, TimePoint now) {
+    FlowSearch& search = it->second;
+    const auto gone = [this, now](const request::Endpoint& sidecar) {
+      const UpstreamView* view = upstreams_.Find(sidecar);
+      return view == nullptr || view->Gone(now);
+    };
+    switch (search.Next(now, gone)) {
+      case FlowSearch::Step::kWait:
+        return;
+      case FlowSearch::Step::kProbe:
+        for (const request::Endpoint& sidecar : search.TakeUnsure()) {
+          Forward(sidecar, search.packets().front(), {.probe = true}, now);
+        }
+        return;
+      case FlowSearch::Step::kDenied:
+        OnDeniedByAll(it, now);
+        return;
+    }
+  }
+
+  // No sidecar of the service holds the flow. Another entry instance may have
+  // placed it at an upstream whose record has not come here yet, so the caller
+  // is told only when the records are at least as new as the search.
+  void OnDeniedByAll(typename Searches::iterator it, TimePoint now) {
+    if (records_complete_at_ < it->second.since()) {
+      WantRecords(now);
+      return;
+    }
+    const request::FlowKey key = it->first;
+    const FlowSearch search = std::move(it->second);
+    searches_.erase(it);
+    // Packets without payload may belong to a flow that has ended.
+    for (const std::vector<std::byte>& bytes : search.packets()) {
+      const auto packet = sink_->Parse(bytes);
+      if (packet && packet->payload_size > 0) {
+        if (lost_.size() < kMostLost) {
+          lost_[key] = now;
+        }
+        ResetLost(*packet);
+        return;
+      }
     }
+    Report(EntryVerdict::kNotLocated, key, routes_->Find(key.service));
   }
 
-  // When nobody knows the flow, it may be held beside a sidecar that is
-  // younger than its upstream: only these upstreams are asked, with a packet.
-  void ProbeUnsure(Search* search, TimePoint now) {
-    const bool all_answered =
-        search->denied + search->unsure.size() >= search->asked;
-    if (!all_answered || search->probed || search->unsure.empty()) {
+  void ResetLost(const request::ParsedPacket& packet) {
+    if (packet.payload_size == 0) {
       return;
     }
-    search->probed = true;
-    for (const request::Endpoint& it : search->unsure) {
-      Forward(it, search->packets.front(), {.probe = true}, now);
+    sink_->Reset(packet);
+    Report(EntryVerdict::kFlowLost, packet.flow,
+           routes_->Find(packet.flow.service));
+  }
+
+  void WantRecords(TimePoint now) {
+    records_wanted_ = now < next_records_;
+    if (!records_wanted_) {
+      next_records_ = now + kRecordsPeriod;
+      sink_->RefreshRecords();
     }
   }
 
@@ -570,29 +599,39 @@
     }
   }
 
-  void ExpireSearches(TimePoint now) {
+  // Upstreams that have become known are asked too; searches that found nothing
+  // end.
+  void ContinueSearches(TimePoint now) {
     for (auto it = searches_.begin(); it != searches_.end();) {
       const auto current = it++;
-      Search& search = current->second;
-      if (now - search.since < kSearchTimeout) {
-        continue;
-      }
-      if (!search.probed && !search.unsure.empty()) {
-        // Some sidecars are silent; those that are unsure are asked anyway.
-        search.asked = search.denied + search.unsure.size();
-        search.since = now;
-        ProbeUnsure(&search, now);
+      FlowSearch& search = current->second;
+      const version::Route* route = routes_->Find(current->first.service);
+      if (route == nullptr || now - search.since() >= kSearchLife) {
+        Report(EntryVerdict::kNotLocated, current->first, route);
+        searches_.erase(current);
         continue;
       }
-      Report(EntryVerdict::kNotLocated, current->first,
-             routes_->Find(current->first.service));
-      searches_.erase(current);
+      AskNewcomers(&search, *route, now);
+      Continue(current, now);
     }
   }
 
+  void AskNewcomers(FlowSearch* search, const version::Route& route,
+                    TimePoint now) {
+    const auto packet = sink_->Parse(search->packets().front());
+    if (!packet) {
+      return;
+    }
+    auto sidecars = SidecarsOf(route, packet->flow.service);
+    std::erase_if(sidecars, [search](const request::Endpoint& it) {
+      return search->Asked(it);
+    });
+    Ask(search, *packet, sidecars, now);
+  }
+
   void ExpireFlows(TimePoint now) {
-    std::erase_if(
-        denied_, [&](const auto& it) { return now - it.second > kDenialLife; });
+    absl::erase_if(lost_,
+                   [&](const auto& it) { return now - it.second > kLostLife; });
     const Milliseconds idle =
         routes_ == nullptr ? Milliseconds(0) : routes_->idle_timeout;
     absl::erase_if(flows_, [&](const auto& it) {
@@ -621,12 +660,15 @@
       earlier_services_;
   UpstreamSet upstreams_;
   absl::flat_hash_map<request::FlowKey, Flow, request::FlowKeyHash> flows_;
-  std::map<request::FlowKey, Search> searches_;
-  /// Flows that every sidecar denied, with the time of the first denial.
-  std::map<request::FlowKey, TimePoint> denied_;
+  Searches searches_;
+  /// Flows whose callers were told that no upstream holds them, and when.
+  absl::flat_hash_map<request::FlowKey, TimePoint, request::FlowKeyHash> lost_;
   bool upstreams_known_ = false;
-  TimePoint upstreams_changed_at_;
-  bool store_answers_ = true;
+  /// The records hold every change that the store had taken at this time.
+  TimePoint records_complete_at_;
+  bool records_wanted_ = false;
+  TimePoint next_records_;
+  TimePoint next_search_check_;
   TimePoint next_sweep_;
 };
 
--- a/packages/process/include/kumquatvalve/process/entry_node.h
+++ b/packages/process/include/kumquatvalve/process/entry_node.h
@@ -26,8 +26,12 @@
  public:
   using TimePoint = std::chrono::steady_clock::time_point;
 
-  EntryOutput(const version::NodeSettings& settings, const Logger* logger)
+  /// `refresh_records` is called when the upstream records have to be read
+  /// again at once.
+  EntryOutput(const version::NodeSettings& settings, const Logger* logger,
+              std::function<void()> refresh_records)
       : caller_port_(settings.packets.port),
+        refresh_records_(std::move(refresh_records)),
         log_(logger),
         metrics_(&log_),
         to_callers_(&caller_socket_, &counters_),
@@ -60,6 +64,7 @@
     request::Failure failure;
     return F::Parse(packet, &failure);
   }
+  void RefreshRecords() { refresh_records_(); }
   void Decided(const connection::EntryDecision& decision) {
     log_.OnEntryDecision(decision, now_);
     if (decision.verdict == connection::EntryVerdict::kPlaced) {
@@ -75,6 +80,7 @@
 
  private:
   uint16_t caller_port_;
+  std::function<void()> refresh_records_;
   DecisionLog log_;
   NodeMetrics metrics_;
   UdpSocket caller_socket_;
@@ -92,13 +98,20 @@
  public:
   using Clock = std::chrono::steady_clock;
 
-  /// `logger` must outlive the node. `on_pause` is called by the traffic
-  /// thread after a time in which it did not run.
+  /// What the traffic thread asks of the threads that talk to the store.
+  struct Requests {
+    /// The process did not run for a while.
+    std::function<void()> on_pause;
+    /// The upstream records have to be read again at once.
+    std::function<void()> refresh_records;
+  };
+
+  /// `logger` must outlive the node.
   EntryNode(const version::NodeSettings& settings, const Logger* logger,
-            std::function<void()> on_pause)
+            Requests requests)
       : settings_(settings),
-        on_pause_(std::move(on_pause)),
-        output_(settings, logger),
+        on_pause_(std::move(requests.on_pause)),
+        output_(settings, logger, std::move(requests.refresh_records)),
         router_({settings.availability_zone, kMaxFlows, SeedOf(settings)},
                 &output_) {}
 
@@ -110,9 +123,12 @@
     has_routes_ = true;
     routes_.Put(std::move(routes));
   }
-  void PublishUpstreams(std::vector<version::UpstreamRecord> records) {
+  /// @param complete_at the records hold every change that the store had taken
+  ///   at this time.
+  void PublishUpstreams(std::vector<version::UpstreamRecord> records,
+                        Clock::time_point complete_at) {
     has_upstreams_ = true;
-    upstreams_.Put(std::move(records));
+    upstreams_.Put({std::move(records), complete_at});
   }
 
   /// Whether the store answered the last call about upstream records.
@@ -171,6 +187,11 @@
   using Router = connection::EntryRouter<EntryOutput<F>>;
   using Milliseconds = std::chrono::milliseconds;
 
+  struct Upstreams {
+    std::vector<version::UpstreamRecord> records;
+    Clock::time_point complete_at;
+  };
+
   // Bits of `WaitReadable`, in the order of the handles.
   static constexpr uint32_t kCallersReadable = 1U << 0;
   static constexpr uint32_t kHopsReadable = 1U << 1;
@@ -230,10 +251,9 @@
     if (auto routes = routes_.Take()) {
       router_.OnRoutes(std::move(*routes));
     }
-    if (auto records = upstreams_.Take()) {
-      router_.OnUpstreams(*records, now_);
+    if (const auto it = upstreams_.Take()) {
+      router_.OnUpstreams(it->records, it->complete_at, now_);
     }
-    router_.OnStoreState(store_answers_);
   }
 
   size_t TakeHopMessages() {
@@ -275,7 +295,7 @@
   StatusRequest status_;
   PauseDetector pauses_;
   Mailbox<std::shared_ptr<const version::RouteMap>> routes_;
-  Mailbox<std::vector<version::UpstreamRecord>> upstreams_;
+  Mailbox<Upstreams> upstreams_;
   std::atomic<bool> has_routes_{false};
   std::atomic<bool> has_upstreams_{false};
   std::atomic<bool> store_answers_{true};
--- a/packages/process/include/kumquatvalve/process/store_watcher.h
+++ b/packages/process/include/kumquatvalve/process/store_watcher.h
@@ -4,10 +4,11 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <condition_variable>
 #include <functional>
 #include <map>
+#include <mutex>
 #include <string>
-#include <thread>
 #include <utility>
 
 #include "kumquatvalve/process/object_api.h"
@@ -23,10 +24,12 @@
 class StoreWatcher {
  public:
   using Objects = std::map<std::string, StoredObject>;
+  using TimePoint = std::chrono::steady_clock::time_point;
 
   struct Listener {
-    /// The copy after a change; called once after the first list as well.
-    std::function<void(const Objects&)> changed;
+    /// The copy after a change and after each list. It holds every change that
+    /// the store had taken at `complete_at`.
+    std::function<void(const Objects&, TimePoint complete_at)> changed;
     /// The store stopped answering; `reason` is the last failure.
     std::function<void(const request::Failure& reason)> lost;
     std::function<void()> regained;
@@ -54,7 +57,7 @@
   void Run() {
     while (!stopped_) {
       request::Failure failure;
-      if (listed_ ? Watch(&failure) : List(&failure)) {
+      if (Read(&failure)) {
         OnSuccess();
       } else if (!interrupted_.exchange(false)) {
         OnFailure(failure);
@@ -64,22 +67,47 @@
 
   void Stop() {
     stopped_ = true;
-    api_->Interrupt();
+    Wake();
   }
 
   /// Asks the store again at once; for a process that was paused and cannot
   /// trust its open connections.
   void Refresh() {
     interrupted_ = true;
-    api_->Interrupt();
+    Wake();
+  }
+
+  /// Lists the objects again at once, or with the next try when the store does
+  /// not answer; for a caller that must know that nothing is missing. A watch
+  /// cannot tell: a store that dropped its history may leave out changes.
+  void Relist() {
+    relist_ = true;
+    if (watching_ && !lost_) {
+      Refresh();
+    }
   }
 
  private:
+  bool Read(request::Failure* failure) {
+    const bool relist = relist_.exchange(false);
+    if (!listed_ || relist) {
+      const bool done = List(failure);
+      relist_ = relist_ || (!done && listed_);
+      return done;
+    }
+    watching_ = true;
+    const bool done = Watch(failure);
+    watching_ = false;
+    return done;
+  }
+
   bool List(request::Failure* failure) {
+    const TimePoint sent_at = std::chrono::steady_clock::now();
     auto list = api_->List(prefix_, failure);
     if (!list) {
       return false;
     }
+    complete_at_ = sent_at;
     objects_.clear();
     for (StoredObject& it : list->items) {
       std::string path = it.path;
@@ -87,7 +115,7 @@
     }
     since_ = list->version;
     listed_ = true;
-    listener_.changed(objects_);
+    listener_.changed(objects_, complete_at_);
     return true;
   }
 
@@ -104,8 +132,8 @@
       Apply(std::move(it));
     }
     if (answer->snapshot || !answer->events.empty()) {
-      listener_.changed(objects_);
-      std::this_thread::sleep_for(timing_.gather);
+      listener_.changed(objects_, complete_at_);
+      Wait(timing_.gather);
     }
     return true;
   }
@@ -124,6 +152,22 @@
     }
   }
 
+  // Ends a call or a pause of the watching thread.
+  void Wake() {
+    {
+      const std::lock_guard lock(mutex_);
+      woken_ = true;
+    }
+    wake_.notify_all();
+    api_->Interrupt();
+  }
+
+  void Wait(std::chrono::milliseconds time) {
+    std::unique_lock lock(mutex_);
+    wake_.wait_for(lock, time, [this] { return woken_; });
+    woken_ = false;
+  }
+
   void OnSuccess() {
     pause_.Reset();
     if (lost_) {
@@ -137,7 +181,7 @@
       lost_ = true;
       listener_.lost(failure);
     }
-    std::this_thread::sleep_for(pause_.Next());
+    Wait(pause_.Next());
   }
 
   A* api_;
@@ -148,9 +192,16 @@
   Objects objects_;
   request::TableVersion since_;
   bool listed_ = false;
-  bool lost_ = false;
+  std::atomic<bool> lost_{false};
   std::atomic<bool> stopped_{false};
   std::atomic<bool> interrupted_{false};
+  std::atomic<bool> relist_{false};
+  /// A watch waits, or its changes are gathered.
+  std::atomic<bool> watching_{false};
+  TimePoint complete_at_;
+  std::mutex mutex_;
+  std::condition_variable wake_;
+  bool woken_ = false;
 };
 
 }  // namespace kumquatvalve::process
