Let first packets wait at the sidecar while the upstream has no room

Cause: after a loss of power all callers return at once. Change: an upstream gets as many flows as it has slots, and as many again; the next final offers wait at the sidecar, first come, first served, until a request is answered. An offer that cannot open within the caller's patience is returned, so that the caller is refused at once. Waiting flows are returned when a drain begins or the upstream falls silent. A flow that was offered to the upstream and sent no request counts as work for 100 ms, not for 0.3 to 1.3 s.

--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -180,6 +180,8 @@
   static constexpr size_t kMaxOffers = 5;
   // After this many offers the flow waits where it is placed.
   static constexpr size_t kQueueFullOffers = 3;
+  // A caller gives up 1.4 s after its first packet; the rest is for the way.
+  static constexpr Milliseconds kOpeningPatience{1200};
   // Ended flows stay known for the retransmissions of their last packets.
   static constexpr Milliseconds kEndedLife{4000};
   // A caller sends no copies of its first packet after 1.4 s.
@@ -196,6 +198,7 @@
   struct ForwardOptions {
     bool probe = false;
     bool final_offer = false;
+    Milliseconds patience{0};
   };
 
   struct Flow {
@@ -302,10 +305,21 @@
     decision.route_revision = routes_->revision;
     const request::Endpoint holder = flow.holder;
     flows_.insert_or_assign(packet.flow, std::move(flow));
-    Forward(holder, packet.bytes, {.final_offer = final_offer}, now);
+    Forward(holder, packet.bytes,
+            {.final_offer = final_offer, .patience = PatienceOf(packet, route)},
+            now);
     sink_->Decided(decision);
   }
 
+  // Bulk transfers do not wait: most of their time goes by on the way, so that
+  // work in progress says little about free slots.
+  static Milliseconds PatienceOf(const request::ParsedPacket& packet,
+                                 const version::Route& route) {
+    return route.shape == version::TrafficShape::kBulk
+               ? Milliseconds(0)
+               : std::min(kOpeningPatience - packet.waited, route.timeout);
+  }
+
   // A reset is true only when no upstream can have taken the flow.
   void Refuse(const Flow& flow, const request::ParsedPacket& packet,
               EntryVerdict verdict, const version::Route& route) {
@@ -533,25 +547,36 @@
   // placed it at an upstream whose record has not come here yet, so the caller
   // is told only when the records are at least as new as the search.
   void OnDeniedByAll(typename Searches::iterator it, TimePoint now) {
+    const auto bytes = PacketWithPayload(it->second);
+    if (bytes.empty()) {
+      // Packets without payload may belong to a flow that has ended.
+      Report(EntryVerdict::kNotLocated, it->first,
+             routes_->Find(it->first.service));
+      searches_.erase(it);
+      return;
+    }
     if (records_complete_at_ < it->second.since()) {
       WantRecords(now);
       return;
     }
-    const request::FlowKey key = it->first;
-    const FlowSearch search = std::move(it->second);
+    if (lost_.size() < kMostLost) {
+      lost_[it->first] = now;
+    }
     searches_.erase(it);
-    // Packets without payload may belong to a flow that has ended.
+    if (const auto packet = sink_->Parse(bytes)) {
+      ResetLost(*packet);
+    }
+  }
+
+  // Empty when the search keeps no packet with payload.
+  std::vector<std::byte> PacketWithPayload(const FlowSearch& search) {
     for (const std::vector<std::byte>& bytes : search.packets()) {
       const auto packet = sink_->Parse(bytes);
       if (packet && packet->payload_size > 0) {
-        if (lost_.size() < kMostLost) {
-          lost_[key] = now;
-        }
-        ResetLost(*packet);
-        return;
+        return bytes;
       }
     }
-    Report(EntryVerdict::kNotLocated, key, routes_->Find(key.service));
+    return {};
   }
 
   void ResetLost(const request::ParsedPacket& packet) {
@@ -583,6 +608,7 @@
     message.service = view->tag();
     message.probe = options.probe;
     message.final_offer = options.final_offer;
+    message.patience = options.patience;
     view->OnSent(now);
     sink_->Send(sidecar, message, packet);
   }
--- a/packages/connection/include/kumquatvalve/connection/placement.h
+++ b/packages/connection/include/kumquatvalve/connection/placement.h
@@ -9,6 +9,10 @@
 
 namespace kumquatvalve::connection {
 
+/// Time of one request until an upstream's first report: the mean work of a
+/// short request in the brief's deployments.
+inline constexpr std::chrono::microseconds kUnknownServiceTime{30000};
+
 /// One upstream that a new flow may be placed at.
 struct PlacementCandidate {
   /// Requests that it works on at once; at least 1.
--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -9,6 +9,7 @@
 #include <concepts>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <span>
 #include <string>
@@ -16,6 +17,8 @@
 
 #include "kumquatvalve/connection/admission_policy.h"
 #include "kumquatvalve/connection/identity_tracker.h"
+#include "kumquatvalve/connection/offer_decision.h"
+#include "kumquatvalve/connection/waiting_flows.h"
 #include "kumquatvalve/request/flow_key.h"
 #include "kumquatvalve/request/hop_message.h"
 #include "kumquatvalve/request/packet.h"
@@ -39,14 +42,16 @@
   /// The upstream stopped or began again to answer first packets.
   kUnresponsive,
   kResponsive,
+  /// A first packet waits until the upstream has room.
+  kWaiting,
 };
 
-inline constexpr size_t kGateVerdicts = 8;
+inline constexpr size_t kGateVerdicts = 9;
 
 constexpr std::string_view Name(GateVerdict verdict) {
   constexpr std::array<std::string_view, kGateVerdicts> kNames = {
-      "admitted", "returned", "adopted",      "probed",
-      "not_held", "lost",     "unresponsive", "responsive"};
+      "admitted", "returned",     "adopted",    "probed", "not_held",
+      "lost",     "unresponsive", "responsive", "waiting"};
   return kNames[static_cast<size_t>(verdict)];
 }
 
@@ -57,6 +62,7 @@
   request::ReturnReason reason = request::ReturnReason::kNone;
   uint16_t in_progress = 0;
   uint16_t opening = 0;
+  size_t waiting = 0;
 };
 
 /// What a sidecar's gate lets happen.
@@ -115,12 +121,17 @@
     load_.incarnation_ms = identity.incarnation_ms;
     load_.slots = static_cast<uint16_t>(identity.slots);
     load_.draining = identity.draining;
+    if (load_.draining) {
+      ReturnWaiting(request::ReturnReason::kDraining);
+    }
     ReportToAll(now);
+    AdmitWaiting(now);
   }
 
   /// The upstream has left or this process is about to stop: no new flows.
   void StartDrain(TimePoint now) {
     load_.draining = true;
+    ReturnWaiting(request::ReturnReason::kDraining);
     ReportToAll(now);
   }
 
@@ -137,9 +148,11 @@
     }
     const auto it = flows_.find(packet.flow);
     if (packet.IsFirst()) {
-      it != flows_.end() && it->second.caller_isn == packet.sequence
-          ? sink_->Deliver(packet.bytes)
-          : OnFirstPacket(entry, message, packet, now);
+      if (it != flows_.end() && it->second.caller_isn == packet.sequence) {
+        sink_->Deliver(packet.bytes);
+      } else if (!waiting_.Contains(packet.flow)) {
+        OnFirstPacket(entry, message, packet, now);
+      }
       return;
     }
     if (it == flows_.end()) {
@@ -147,6 +160,7 @@
       return;
     }
     OnKnownFlow(entry, &it->second, packet, now);
+    AdmitWaiting(now);
   }
 
   void OnHopMessage(const request::Endpoint& entry,
@@ -191,6 +205,7 @@
       EndWork(&flow);
     }
     sink_->Answer(key.caller, packet.bytes);
+    AdmitWaiting(now);
   }
 
   /// A caller's packet that the upstream did not take; its marks are cleared.
@@ -226,6 +241,7 @@
   /// To be called every `kTick`.
   void OnTick(TimePoint now) {
     CheckResponsive(now);
+    AdmitWaiting(now);
     load_.open_flows = static_cast<uint32_t>(CountOpen());
     for (auto& [entry, state] : entries_) {
       if (state.report_due && now - state.reported_at >= kReportPeriod) {
@@ -245,6 +261,7 @@
 
   size_t flows() const { return flows_.size(); }
   const request::UpstreamLoad& load() const { return load_; }
+  size_t waiting() const { return waiting_.size(); }
   const UpstreamIdentity& identity() const { return identity_; }
   bool heard_entries() const { return !entries_.empty(); }
 
@@ -264,8 +281,9 @@
   // Open flows may be forgotten: the upstream tells of those that it holds.
   static constexpr Milliseconds kIdleLife{60000};
   static constexpr Milliseconds kEntryLife{10000};
-  // A flow that opened and sent no request for this long is no work to come.
-  static constexpr Milliseconds kOpeningWork{300};
+  // A flow that was offered to the upstream and sent no request for this long
+  // is no work to come: its caller has left or opened it at another upstream.
+  static constexpr Milliseconds kOpeningWork{100};
   // An upstream that started at most this long (ms) before this process got no
   // flows through an earlier one: that would have had to start, to become
   // known, to end and to be replaced meanwhile.
@@ -295,6 +313,11 @@
     std::optional<request::Endpoint> probed_by;
   };
 
+  struct Admitted {
+    request::FlowKey flow;
+    TimePoint at;
+  };
+
   struct Entry {
     TimePoint heard_at;
     TimePoint reported_at;
@@ -303,11 +326,17 @@
 
   void Report(GateVerdict verdict, const request::FlowKey& flow,
               request::ReturnReason reason = request::ReturnReason::kNone) {
-    sink_->Decided({verdict, flow, reason, load_.in_progress, load_.opening});
+    sink_->Decided({verdict, flow, reason, load_.in_progress, load_.opening,
+                    waiting_.size()});
   }
 
-  bool EverySlotTaken() const {
-    return load_.slots != 0 && load_.in_progress + load_.opening >= load_.slots;
+  OfferState State() const {
+    OfferState state;
+    state.slots = load_.slots;
+    state.work = size_t{load_.in_progress} + load_.opening;
+    state.waiting = waiting_.size();
+    state.service_time = std::chrono::microseconds(load_.service_time_us);
+    return state;
   }
 
   void NoteEntry(const request::Endpoint& entry, TimePoint now) {
@@ -330,13 +359,33 @@
       }
       next_trial_ = now + kTrialPeriod;
     }
-    if (!message.final_offer && EverySlotTaken()) {
-      // The entry instance decides with the current load, not with a report
-      // that may be older than the requests in progress.
-      SendReport(entry);
-      Return(entry, packet, request::ReturnReason::kQueueFull);
-      return;
+    switch (AnswerOffer(State(), message.final_offer, message.patience)) {
+      case OfferAnswer::kDeliver:
+        Admit(entry, packet, now);
+        return;
+      case OfferAnswer::kWait: {
+        WaitingFlow flow = {packet.flow,
+                            packet.sequence,
+                            entry,
+                            now + message.patience,
+                            {packet.bytes.begin(), packet.bytes.end()}};
+        if (waiting_.Push(std::move(flow))) {
+          Report(GateVerdict::kWaiting, packet.flow);
+          return;
+        }
+        break;
+      }
+      case OfferAnswer::kReturn:
+        break;
     }
+    // The entry instance decides with the current load, not with a report that
+    // may be older than the requests in progress.
+    SendReport(entry);
+    Return(entry, packet, request::ReturnReason::kQueueFull);
+  }
+
+  void Admit(const request::Endpoint& entry,
+             const request::ParsedPacket& packet, TimePoint now) {
     if (const auto old = flows_.find(packet.flow); old != flows_.end()) {
       EndWork(&old->second);
     }
@@ -347,6 +396,7 @@
     flow.last_packet = now;
     flow.opening = true;
     ++load_.opening;
+    admitted_.push_back({packet.flow, now});
     flows_.insert_or_assign(packet.flow, flow);
     denied_.erase(packet.flow);
     if (!first_unanswered_) {
@@ -356,6 +406,34 @@
     sink_->Deliver(packet.bytes);
   }
 
+  void ExpireOpenings(TimePoint now) {
+    while (!admitted_.empty() && now - admitted_.front().at > kOpeningWork) {
+      const auto it = flows_.find(admitted_.front().flow);
+      // The port may have been used again meanwhile.
+      if (it != flows_.end() &&
+          it->second.admitted_at == admitted_.front().at) {
+        EndOpening(&it->second);
+      }
+      admitted_.pop_front();
+    }
+  }
+
+  // Hands waiting first packets to the upstream while it has room.
+  void AdmitWaiting(TimePoint now) {
+    ExpireOpenings(now);
+    while (!waiting_.empty() && HasRoom(State())) {
+      if (const auto it = waiting_.Pop(now)) {
+        Admit(it->entry, it->Packet(), now);
+      }
+    }
+  }
+
+  void ReturnWaiting(request::ReturnReason reason) {
+    for (const WaitingFlow& it : waiting_.TakeAll()) {
+      Return(it.entry, it.Packet(), reason);
+    }
+  }
+
   void OnKnownFlow(const request::Endpoint& entry, Flow* flow,
                    const request::ParsedPacket& packet, TimePoint now) {
     const bool other_upstream_chosen =
@@ -506,6 +584,7 @@
     load_.unresponsive = true;
     next_trial_ = now + kTrialPeriod;
     Report(GateVerdict::kUnresponsive, {});
+    ReturnWaiting(request::ReturnReason::kUnresponsive);
     ReportToAll(now);
   }
 
@@ -522,6 +601,8 @@
     message.kind = request::HopKind::kLoad;
     message.service = tag_;
     message.load = load_;
+    message.load.opening =
+        static_cast<uint16_t>(load_.opening + waiting_.size());
     sink_->Send(entry, message, {});
   }
 
@@ -534,11 +615,6 @@
   }
 
   void Sweep(TimePoint now) {
-    for (auto& [key, flow] : flows_) {
-      if (flow.opening && now - flow.admitted_at > kOpeningWork) {
-        EndOpening(&flow);
-      }
-    }
     absl::erase_if(flows_, [&](auto& it) {
       Flow& flow = it.second;
       const auto age = now - flow.last_packet;
@@ -576,6 +652,9 @@
   absl::flat_hash_map<request::FlowKey, TimePoint, request::FlowKeyHash>
       denied_;
   absl::flat_hash_map<request::Endpoint, Entry, EndpointHash> entries_;
+  WaitingFlows waiting_;
+  /// Flows that were admitted lately, in that order.
+  std::deque<Admitted> admitted_;
   /// First packet that the upstream has not answered.
   std::optional<TimePoint> first_unanswered_;
   TimePoint next_trial_;
--- a/packages/connection/src/upstream_view.cc
+++ b/packages/connection/src/upstream_view.cc
@@ -28,10 +28,6 @@
 // left alone until the store has told about it.
 constexpr milliseconds kGonePause{3000};
 
-// Until the first report: the mean work of a short request in the brief's
-// deployments.
-constexpr microseconds kUnknownServiceTime{30000};
-
 }  // namespace
 
 UpstreamView::UpstreamView(const version::UpstreamRecord& record, TimePoint now)
--- /dev/null
+++ b/packages/connection/src/waiting_flows.cc
@@ -0,0 +1,49 @@
+#include "kumquatvalve/connection/waiting_flows.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace kumquatvalve::connection {
+
+request::ParsedPacket WaitingFlow::Packet() const {
+  request::ParsedPacket packet;
+  packet.flow = flow;
+  packet.syn = true;
+  packet.sequence = caller_isn;
+  packet.bytes = bytes;
+  return packet;
+}
+
+bool WaitingFlows::Push(WaitingFlow flow) {
+  if (flows_.size() >= kMostWaiting) {
+    return false;
+  }
+  flows_.push_back(std::move(flow));
+  return true;
+}
+
+bool WaitingFlows::Contains(const request::FlowKey& flow) const {
+  return std::any_of(flows_.begin(), flows_.end(),
+                     [&](const WaitingFlow& it) { return it.flow == flow; });
+}
+
+std::optional<WaitingFlow> WaitingFlows::Pop(TimePoint now) {
+  while (!flows_.empty()) {
+    WaitingFlow flow = std::move(flows_.front());
+    flows_.pop_front();
+    if (now < flow.until) {
+      return flow;
+    }
+  }
+  return std::nullopt;
+}
+
+std::vector<WaitingFlow> WaitingFlows::TakeAll() {
+  std::vector<WaitingFlow> flows(std::make_move_iterator(flows_.begin()),
+                                 std::make_move_iterator(flows_.end()));
+  flows_.clear();
+  return flows;
+}
+
+}  // namespace kumquatvalve::connection
--- a/packages/connection/test/upstream_gate_test.cc
+++ b/packages/connection/test/upstream_gate_test.cc
@@ -118,6 +118,7 @@
                   const char* service = "patio", bool final_offer = false) {
     request::HopMessage message;
     message.final_offer = final_offer;
+    message.patience = milliseconds(1200);
     message.kind = HopKind::kPacket;
     message.service = request::ServiceTagOf(service);
     gate.OnCallerPacket(kEntry, message, packet, now);
@@ -331,6 +332,57 @@
   CHECK(f.sink.delivered == 3);
 }
 
+// After a loss of power all callers return at once; upstreams rejected what
+// their queues could not hold.
+TEST_CASE(
+    "upstream_gate: a flow for which there is no room waits until a request "
+    "is answered") {
+  Fixture f;
+  for (uint16_t port = 1; port <= 6; ++port) {
+    f.FromCaller(f.Syn(port), "patio", /*final_offer=*/true);
+  }
+  // Two slots and as many flows in advance.
+  CHECK(f.sink.delivered == 4);
+  CHECK(f.gate.waiting() == 2);
+  // A copy of a first packet changes nothing.
+  f.FromCaller(f.Syn(5));
+  CHECK(f.gate.waiting() == 2);
+  CHECK(f.sink.count(HopKind::kReturned) == 0);
+  f.FromUpstream(f.SynAck(1));
+  f.FromCaller(f.Data(1));
+  const int before = f.sink.delivered;
+  f.FromUpstream(f.AnswerData(1));
+  CHECK(f.sink.delivered == before + 1);
+  CHECK(f.gate.waiting() == 1);
+  f.Wait(milliseconds(100));
+  CHECK(f.sink.last(HopKind::kLoad).load.opening == 5);
+}
+
+TEST_CASE("upstream_gate: flows that wait are returned when a drain begins") {
+  Fixture f;
+  for (uint16_t port = 1; port <= 5; ++port) {
+    f.FromCaller(f.Syn(port), "patio", /*final_offer=*/true);
+  }
+  const int before = f.sink.delivered;
+  f.Start(kYoungUpstream, true);
+  CHECK(f.sink.last(HopKind::kReturned).reason == ReturnReason::kDraining);
+  CHECK(f.sink.count(HopKind::kReturned) == 1);
+  CHECK(f.gate.waiting() == 0);
+  CHECK(f.sink.delivered == before);
+}
+
+TEST_CASE(
+    "upstream_gate: flows that wait at an upstream that fell silent are "
+    "returned") {
+  Fixture f;
+  for (uint16_t port = 1; port <= 5; ++port) {
+    f.FromCaller(f.Syn(port), "patio", /*final_offer=*/true);
+  }
+  f.Wait(milliseconds(200));
+  CHECK(f.sink.last(HopKind::kReturned).reason == ReturnReason::kUnresponsive);
+  CHECK(f.gate.waiting() == 0);
+}
+
 // After a loss of power sidecars start some tenths of a second later than their
 // upstreams; every lost flow was tried at every upstream again and again.
 TEST_CASE(
--- a/packages/process/include/kumquatvalve/process/sidecar_node.h
+++ b/packages/process/include/kumquatvalve/process/sidecar_node.h
@@ -195,6 +195,7 @@
         {"slots", load.slots},
         {"in_progress", load.in_progress},
         {"opening", load.opening},
+        {"waiting", gate_.waiting()},
         {"service_time_us", load.service_time_us},
         {"flows", gate_.flows()}};
     return status.dump();
--- a/packages/process/src/decision_log.cc
+++ b/packages/process/src/decision_log.cc
@@ -65,6 +65,7 @@
                 {"reason", std::string(Name(decision.reason))},
                 {"in_progress", std::to_string(decision.in_progress)},
                 {"opening", std::to_string(decision.opening)},
+                {"waiting", std::to_string(decision.waiting)},
                 {"left_out", std::to_string(left_out)}});
 }
 
--- a/packages/request/include/kumquatvalve/request/hop_message.h
+++ b/packages/request/include/kumquatvalve/request/hop_message.h
@@ -2,6 +2,7 @@
 #define KUMQUATVALVE_REQUEST_HOP_MESSAGE_H_
 
 #include <array>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -93,6 +94,9 @@
   /// For `kPacket`: no other upstream would take the flow sooner, so it is not
   /// returned for a queue.
   bool final_offer = false;
+  /// For `kPacket` with `final_offer`: how long the caller waits for its flow
+  /// to open.
+  std::chrono::milliseconds patience{0};
   /// For `kLocate`, `kHeld`, `kNotHeld`, `kUnsure`.
   FlowKey flow;
   /// For `kLocate`: the acknowledgment number of the caller's packet, which
--- a/packages/request/include/kumquatvalve/request/packet.h
+++ b/packages/request/include/kumquatvalve/request/packet.h
@@ -1,6 +1,7 @@
 #ifndef KUMQUATVALVE_REQUEST_PACKET_H_
 #define KUMQUATVALVE_REQUEST_PACKET_H_
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -26,6 +27,9 @@
   /// TCP numbers in host order; 0 for UDP.
   uint32_t sequence = 0;
   uint32_t acknowledgment = 0;
+  /// For a first packet: how long the caller has been waiting for an answer, as
+  /// far as the packet tells.
+  std::chrono::milliseconds waited{0};
   /// Bytes after the TCP or UDP header.
   uint16_t payload_size = 0;
   /// Offset of the TCP or UDP header in `bytes`.
--- a/packages/request/src/hop_message.cc
+++ b/packages/request/src/hop_message.cc
@@ -17,6 +17,9 @@
 constexpr uint8_t kUnresponsiveFlag = 1U << 2;
 constexpr uint8_t kFinalOfferFlag = 1U << 3;
 
+// The field has 16 bits.
+constexpr int64_t kLongestPatienceMs = 65535;
+
 class Writer {
  public:
   explicit Writer(HopBuffer* buf) : buf_(buf) {}
@@ -88,6 +91,10 @@
   return kind == HopKind::kPacket || kind == HopKind::kReturned;
 }
 
+bool HasPatience(const HopMessage& message) {
+  return message.kind == HopKind::kPacket && message.final_offer;
+}
+
 uint8_t FlagsOf(const HopMessage& message) {
   return (message.probe ? kProbeFlag : 0) |
          (message.final_offer ? kFinalOfferFlag : 0) |
@@ -127,6 +134,10 @@
   writer.Put(FlagsOf(message));
   writer.Put(static_cast<uint8_t>(message.reason));
   writer.Put(message.service.value);
+  if (HasPatience(message)) {
+    writer.Put(static_cast<uint16_t>(
+        std::clamp<int64_t>(message.patience.count(), 0, kLongestPatienceMs)));
+  }
   if (NamesFlow(message.kind)) {
     writer.Put(message.flow.caller);
     writer.Put(message.flow.service);
@@ -155,6 +166,9 @@
   message.service.value = reader.Get<uint64_t>();
   message.probe = (flags & kProbeFlag) != 0;
   message.final_offer = (flags & kFinalOfferFlag) != 0;
+  if (HasPatience(message)) {
+    message.patience = std::chrono::milliseconds(reader.Get<uint16_t>());
+  }
   if (NamesFlow(message.kind)) {
     message.flow.caller = reader.GetEndpoint();
     message.flow.service = reader.GetEndpoint();
--- a/packages/request/test/hop_message_test.cc
+++ b/packages/request/test/hop_message_test.cc
@@ -60,6 +60,23 @@
   }
 }
 
+TEST_CASE("hop_message: a final offer tells how long the caller waits") {
+  HopMessage message = SampleOf(HopKind::kPacket);
+  message.final_offer = true;
+  message.patience = std::chrono::milliseconds(1200);
+  std::span<const std::byte> packet;
+  Failure failure;
+  auto read =
+      DecodeHopMessage(EncodeHopMessage(message).span(), &packet, &failure);
+  REQUIRE(read);
+  CHECK(read->patience == std::chrono::milliseconds(1200));
+  // A longer time than the field holds is not taken for a short one.
+  message.patience = std::chrono::hours(1);
+  read = DecodeHopMessage(EncodeHopMessage(message).span(), &packet, &failure);
+  REQUIRE(read);
+  CHECK(read->patience == std::chrono::milliseconds(65535));
+}
+
 TEST_CASE("hop_message: a cut or foreign datagram is an error, not a message") {
   const HopBuffer buf = EncodeHopMessage(SampleOf(HopKind::kLoad));
   for (size_t n = 0; n < buf.size; ++n) {
