Let entry instances and sidecars tell each other what the store cannot

In the same way an instance that the store turns away learned of no change, and a sidecar that it turns away got no flows. A sidecar whose record the store does not take announces it to them (POST /record).

--- a/packages/process/include/kumquatvalve/process/entry_node.h
+++ b/packages/process/include/kumquatvalve/process/entry_node.h
@@ -133,6 +133,7 @@
 
   /// Whether the store answered the last call about upstream records.
   void PublishStoreState(bool answers) { store_answers_ = answers; }
+  bool store_answers() const { return store_answers_; }
 
   /// Whether packets can be routed.
   bool Ready() const { return has_routes_ && has_upstreams_ && !stopping_; }
--- a/packages/process/include/kumquatvalve/process/log_event.h
+++ b/packages/process/include/kumquatvalve/process/log_event.h
@@ -30,6 +30,8 @@
   kTableUnreadable = 1303,
   kStoreUnavailable = 1401,
   kStoreAvailable = 1402,
+  kPeerTold = 1403,
+  kPeerFailed = 1404,
   kMemberStateChanged = 1501,
   kMassEvictionHeld = 1502,
   kMemberLeaseGained = 1503,
--- a/packages/process/include/kumquatvalve/process/record_keeper.h
+++ b/packages/process/include/kumquatvalve/process/record_keeper.h
@@ -56,6 +56,12 @@
     }
   }
 
+  /// The body that is wanted and not known to be in the store.
+  std::optional<std::string> pending() const {
+    const std::lock_guard lock(mutex_);
+    return wanted_ && !done_ ? *wanted_ : std::nullopt;
+  }
+
   /// Whether the store had what was wanted last.
   bool done() const {
     const std::lock_guard lock(mutex_);
--- a/packages/process/src/log_event.cc
+++ b/packages/process/src/log_event.cc
@@ -42,6 +42,10 @@
       return "store_unavailable";
     case LogEvent::kStoreAvailable:
       return "store_available";
+    case LogEvent::kPeerTold:
+      return "peer_told";
+    case LogEvent::kPeerFailed:
+      return "peer_failed";
     case LogEvent::kMemberStateChanged:
       return "member_state_changed";
     case LogEvent::kMassEvictionHeld:
--- /dev/null
+++ b/packages/process/src/peer_client.cc
@@ -0,0 +1,81 @@
+#include "kumquatvalve/process/peer_client.h"
+
+#include <httplib.h>
+
+#include <chrono>
+#include <utility>
+
+namespace kumquatvalve::process {
+namespace {
+
+using request::ResultCode;
+
+// A peer in the same region answers within a few milliseconds, on a slow
+// processor within some tens.
+constexpr std::chrono::milliseconds kPeerTimeout{300};
+
+constexpr int kOk = 200;
+constexpr int kNotModified = 304;
+
+httplib::Client Connect(const request::Endpoint& peer) {
+  httplib::Client client("http://" + request::ToString(peer));
+  client.set_connection_timeout(kPeerTimeout);
+  client.set_read_timeout(kPeerTimeout);
+  client.set_write_timeout(kPeerTimeout);
+  return client;
+}
+
+request::Failure ReasonOf(const request::Endpoint& peer,
+                          const httplib::Result& result) {
+  return {ResultCode::kBadAnswer,
+          request::ToString(peer) + ": " +
+              (result ? "status " + std::to_string(result->status)
+                      : httplib::to_string(result.error()))};
+}
+
+}  // namespace
+
+PeerClient::PeerClient(std::vector<request::Endpoint> peers)
+    : peers_(std::move(peers)) {}
+
+std::optional<PeerSnapshot> PeerClient::Ask(request::Failure* failure) {
+  if (peers_.empty()) {
+    *failure = {ResultCode::kBadAnswer, "no peer is known"};
+    return std::nullopt;
+  }
+  const request::Endpoint peer = peers_[next_++ % peers_.size()];
+  httplib::Client client = Connect(peer);
+  const httplib::Headers headers = {{"If-None-Match", tags_[peer]}};
+  const httplib::Result result = client.Get("/snapshot", headers);
+  if (result && result->status == kNotModified) {
+    *failure = {};
+    return std::nullopt;
+  }
+  if (!result || result->status != kOk) {
+    *failure = ReasonOf(peer, result);
+    return std::nullopt;
+  }
+  auto snapshot = DecodePeerSnapshot(result->body, failure);
+  if (snapshot) {
+    tags_[peer] = result->get_header_value("ETag");
+  }
+  return snapshot;
+}
+
+size_t PeerClient::Tell(const std::string& record,
+                        request::Failure* failure) const {
+  size_t taken = 0;
+  for (const request::Endpoint& peer : peers_) {
+    httplib::Client client = Connect(peer);
+    const httplib::Result result =
+        client.Post("/record", record, "application/json");
+    if (result && result->status == kOk) {
+      ++taken;
+    } else {
+      *failure = ReasonOf(peer, result);
+    }
+  }
+  return taken;
+}
+
+}  // namespace kumquatvalve::process
--- a/packages/process/test/record_keeper_test.cc
+++ b/packages/process/test/record_keeper_test.cc
@@ -184,5 +184,18 @@
   CHECK(f.store.objects.empty());
 }
 
+// Peers are told of a record that the store does not take.
+TEST_CASE("record_keeper: a record is pending until the store has it") {
+  Fixture f;
+  CHECK_FALSE(f.keeper.pending());
+  f.keeper.Want("a");
+  CHECK(f.keeper.pending() == "a");
+  f.Settle("a");
+  CHECK_FALSE(f.keeper.pending());
+  // A departure is no record.
+  f.keeper.Want(std::nullopt);
+  CHECK_FALSE(f.keeper.pending());
+}
+
 }  // namespace
 }  // namespace kumquatvalve::process
--- a/packages/version/include/kumquatvalve/version/node_settings.h
+++ b/packages/version/include/kumquatvalve/version/node_settings.h
@@ -38,6 +38,11 @@
   request::Endpoint hops;
   /// Serves /metrics, /healthz, /readyz and /status over HTTP.
   request::Endpoint status;
+  /// Takes questions of entry instances and records of sidecars that the store
+  /// does not serve, HTTP; only for `Role::kEntry`.
+  std::optional<request::Endpoint> peer_listen;
+  /// Where some entry instances take them; they may be stale.
+  std::vector<request::Endpoint> peers;
   /// Base address of the store, for example "http://127.0.0.1:9000".
   std::string store_url;
   /// Only for `Role::kSidecar`.
--- a/packages/version/include/kumquatvalve/version/settings_reader.h
+++ b/packages/version/include/kumquatvalve/version/settings_reader.h
@@ -64,6 +64,9 @@
   std::vector<request::Endpoint> Endpoints(std::string_view key) const;
   std::map<std::string, std::string> Map(std::string_view key) const;
 
+  /// Whether the file has the key.
+  bool Has(std::string_view key) const { return values_.contains(key); }
+
   /// Line of a key, 0 when it is not in the file.
   int Line(std::string_view key) const;
 
--- a/packages/version/src/node_settings.cc
+++ b/packages/version/src/node_settings.cc
@@ -37,6 +37,17 @@
      .type = Type::kEndpoint,
      .required = true,
      .doc = "Serves /metrics, /healthz, /readyz and /status, HTTP."},
+    {.key = "peer_listen",
+     .type = Type::kEndpoint,
+     .only_for_role = "entry",
+     .doc = "Takes questions of entry instances and records of sidecars that "
+            "the store does not serve, HTTP."},
+    {.key = "peers",
+     .type = Type::kEndpoint,
+     .list = true,
+     .default_text = "[]",
+     .most = 100,
+     .doc = "Where some entry instances take them."},
     {.key = "store",
      .type = Type::kUrl,
      .required = true,
@@ -97,11 +108,15 @@
   settings.packets = reader->Endpoint("packets");
   settings.status = reader->Endpoint("status");
   settings.store_url = reader->Text("store");
+  settings.peers = reader->Endpoints("peers");
   settings.log_level = reader->Text("log_level");
   settings.stop_timeout =
       std::chrono::seconds(reader->Integer("stop_timeout_s"));
   if (settings.role == Role::kEntry) {
     settings.hops = reader->Endpoint("hops");
+    if (reader->Has("peer_listen")) {
+      settings.peer_listen = reader->Endpoint("peer_listen");
+    }
     return settings;
   }
   NodeUpstreamSettings upstream;
--- a/packages/version/test/node_settings_test.cc
+++ b/packages/version/test/node_settings_test.cc
@@ -51,6 +51,24 @@
   CHECK(sidecar->upstream->announce.port == 7007);
 }
 
+TEST_CASE("node_settings: peers are optional") {
+  std::vector<SettingsError> errors;
+  const auto alone = ParseNodeSettings(kEntry, "node.yaml", &errors);
+  REQUIRE(alone);
+  CHECK(alone->peers.empty());
+  CHECK_FALSE(alone->peer_listen);
+  const auto entry =
+      ParseNodeSettings(kEntry +
+                            "peer_listen: \"127.0.0.1:7010\"\n"
+                            "peers: [\"127.0.0.1:7011\",\"127.0.0.1:7012\"]\n",
+                        "node.yaml", &errors);
+  REQUIRE(entry);
+  CHECK(entry->peer_listen->port == 7010);
+  CHECK(entry->peers.size() == 2);
+  // Only entry instances answer peers.
+  CHECK_FALSE(ErrorsOf(kSidecar + "peer_listen: \"127.0.0.1:7010\"\n").empty());
+}
+
 TEST_CASE("node_settings: an unknown key names its line") {
   const auto errors = ErrorsOf(kEntry + "color: red\n");
   REQUIRE(errors.size() == 1);
