Find many flows at once by lists of what sidecars hold

Change: from the ninth search on an entry instance asks every sidecar for the fingerprints of all its flows, at most every 100 ms; one round decides all searches that began before it, and only a sidecar that may hold a flow is asked for that flow. A search that lacks an answer asks again after 150 ms, and a search that found nothing names a silent sidecar in the log. Searches and lists move out of the router into flow_locator.h and flow_listing.h.

--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -17,7 +17,7 @@
 
 #include "kumquatvalve/connection/admission_policy.h"
 #include "kumquatvalve/connection/entry_decision.h"
-#include "kumquatvalve/connection/flow_search.h"
+#include "kumquatvalve/connection/flow_locator.h"
 #include "kumquatvalve/connection/placement.h"
 #include "kumquatvalve/connection/upstream_set.h"
 #include "kumquatvalve/request/flow_key.h"
@@ -70,9 +70,8 @@
                    TimePoint complete_at, TimePoint now) {
     upstreams_.Replace(records, now);
     upstreams_known_ = true;
-    records_complete_at_ = std::max(records_complete_at_, complete_at);
     GreetUpstreams(now);
-    ContinueSearches(now);
+    locator_.OnRecords(complete_at, now);
   }
 
   /// A packet that came from the routers.
@@ -93,7 +92,7 @@
       return;
     }
     if (it == flows_.end() || it->second.Ambiguous()) {
-      Locate(packet, *route, now);
+      locator_.Find(packet, now);
       return;
     }
     Flow& flow = it->second;
@@ -124,7 +123,10 @@
         OnNotHeld(from, message.flow, now);
         return;
       case request::HopKind::kUnsure:
-        OnUnsure(from, message.flow, now);
+        locator_.OnUnsure(from, message.flow, now);
+        return;
+      case request::HopKind::kFlows:
+        locator_.OnFlows(from, message.list, packet, now);
         return;
       case request::HopKind::kReturned:
         OnReturned(from, message.reason, packet, now);
@@ -132,6 +134,7 @@
       case request::HopKind::kPacket:
       case request::HopKind::kLocate:
       case request::HopKind::kHello:
+      case request::HopKind::kList:
         return;
     }
   }
@@ -139,13 +142,7 @@
   /// To be called every `kTick`.
   void OnTick(TimePoint now) {
     GreetUpstreams(now);
-    if (now >= next_search_check_) {
-      next_search_check_ = now + FlowSearch::kAnswerTime;
-      ContinueSearches(now);
-    }
-    if (records_wanted_) {
-      WantRecords(now);
-    }
+    locator_.OnTick(now);
     if (now >= next_sweep_) {
       next_sweep_ = now + kSweepPeriod;
       ExpireFlows(now);
@@ -160,21 +157,56 @@
   const UpstreamSet& upstreams() const { return upstreams_; }
 
  private:
+  // What the locator may do.
+  class Host {
+   public:
+    explicit Host(EntryRouter* router) : router_(router) {}
+
+    std::vector<request::Endpoint> SidecarsOf(
+        const request::Endpoint& address) const {
+      return router_->SidecarsOf(address);
+    }
+    std::vector<request::Endpoint> Sidecars() const {
+      std::vector<request::Endpoint> sidecars;
+      for (const auto& [sidecar, view] : router_->upstreams_.views()) {
+        sidecars.push_back(sidecar);
+      }
+      return sidecars;
+    }
+    bool IsGone(const request::Endpoint& sidecar, TimePoint now) const {
+      const UpstreamView* view = router_->upstreams_.Find(sidecar);
+      return view == nullptr || view->Gone(now);
+    }
+    void Ask(const request::Endpoint& sidecar,
+             const request::HopMessage& message) {
+      request::HopMessage tagged = message;
+      tagged.service = router_->TagOf(sidecar);
+      router_->sink_->Send(sidecar, tagged, {});
+    }
+    void Probe(const request::Endpoint& sidecar,
+               std::span<const std::byte> packet, TimePoint now) {
+      router_->Forward(sidecar, packet, {.probe = true}, now);
+    }
+    void Reset(const request::ParsedPacket& packet) {
+      router_->sink_->Reset(packet);
+    }
+    std::optional<request::ParsedPacket> Parse(
+        std::span<const std::byte> packet) {
+      return router_->sink_->Parse(packet);
+    }
+    void RefreshRecords() { router_->sink_->RefreshRecords(); }
+    void Decided(const EntryDecision& decision) {
+      router_->Report(decision.verdict, decision.flow,
+                      router_->routes_->Find(decision.flow.service),
+                      decision.sidecar);
+    }
+
+   private:
+    EntryRouter* router_;
+  };
+
   using Milliseconds = std::chrono::milliseconds;
 
-  // A caller sends again at most 1.6 s after the last packet and starts another
-  // search.
-  static constexpr Milliseconds kSearchLife{2000};
-  static constexpr size_t kMaxSearches = 4096;
-  // Packets kept for a search: 8 MB at most, in packets of 1,200 bytes.
-  static constexpr size_t kMostKeptPackets = 8;
-  static constexpr size_t kManySearches = 512;
-  // Upstream records are read again at most this often while lost flows wait
-  // for that.
-  static constexpr Milliseconds kRecordsPeriod{250};
-  // A caller that was told of the loss of its flow sends nothing more.
-  static constexpr Milliseconds kLostLife{4000};
-  static constexpr size_t kMostLost = 20000;
   // Offers of one flow at most: an offer takes about 1 ms, and a flow that was
   // returned so often meets an overload or a service that is leaving.
   static constexpr size_t kMaxOffers = 5;
@@ -221,8 +253,6 @@
     bool Ambiguous() const { return twice && !open; }
   };
 
-  using Searches = std::map<request::FlowKey, FlowSearch>;
-
   request::ServiceTag TagOf(const request::Endpoint& sidecar) const {
     const UpstreamView* view = upstreams_.Find(sidecar);
     return view == nullptr ? request::ServiceTag() : view->tag();
@@ -242,12 +272,12 @@
 
   void Report(EntryVerdict verdict, const request::FlowKey& flow,
               const version::Route* route,
-              request::ReturnReason reason = request::ReturnReason::kNone) {
+              const std::optional<request::Endpoint>& sidecar = std::nullopt) {
     EntryDecision decision;
     decision.verdict = verdict;
     decision.flow = flow;
     decision.route = route;
-    decision.reason = reason;
+    decision.sidecar = sidecar;
     decision.route_revision = routes_->revision;
     sink_->Decided(decision);
   }
@@ -419,55 +449,20 @@
     Offer(std::move(flow), *packet, *route, EntryVerdict::kPlacedAgain, now);
   }
 
+  // Sidecars of the services that an address leads to now or led to before.
   std::vector<request::Endpoint> SidecarsOf(
-      const version::Route& route, const request::Endpoint& address) const {
+      const request::Endpoint& address) const {
     std::vector<request::ServiceTag> tags;
     if (const auto it = earlier_services_.find(address);
         it != earlier_services_.end()) {
       tags = it->second;
     }
-    for (const version::RouteShare& it : route.shares) {
-      tags.push_back(it.tag);
-    }
-    return upstreams_.SidecarsOf(tags);
-  }
-
-  // A packet of a flow that this instance did not place: the routers changed
-  // their mind, or this process is new.
-  void Locate(const request::ParsedPacket& packet, const version::Route& route,
-              TimePoint now) {
-    if (lost_.contains(packet.flow)) {
-      ResetLost(packet);
-      return;
-    }
-    const auto [it, inserted] = searches_.try_emplace(packet.flow, now);
-    FlowSearch& search = it->second;
-    search.Keep(packet.bytes,
-                searches_.size() > kManySearches ? 1 : kMostKeptPackets);
-    if (inserted && searches_.size() > kMaxSearches) {
-      searches_.erase(it);
-      return;
-    }
-    if (inserted || now - search.asked_at() >= FlowSearch::kAnswerTime) {
-      Ask(&search, packet, SidecarsOf(route, packet.flow.service), now);
-    }
-  }
-
-  // Asks sidecars for a flow, but for those that denied it.
-  void Ask(FlowSearch* search, const request::ParsedPacket& packet,
-           std::span<const request::Endpoint> sidecars, TimePoint now) {
-    request::HopMessage message;
-    message.kind = request::HopKind::kLocate;
-    message.flow = packet.flow;
-    message.acknowledgment = packet.acknowledgment;
-    for (const request::Endpoint& sidecar : sidecars) {
-      if (search->Denied(sidecar)) {
-        continue;
+    if (const version::Route* route = routes_->Find(address)) {
+      for (const version::RouteShare& it : route->shares) {
+        tags.push_back(it.tag);
       }
-      search->Ask(sidecar, now);
-      message.service = TagOf(sidecar);
-      sink_->Send(sidecar, message, {});
     }
+    return upstreams_.SidecarsOf(tags);
   }
 
   void OnHeld(const request::Endpoint& from, const request::FlowKey& key,
@@ -477,26 +472,18 @@
     flow.open = true;
     flow.twice = false;
     flow.last_packet = now;
-    const auto it = searches_.find(key);
-    if (it == searches_.end()) {
+    const auto search = locator_.Take(key);
+    if (!search) {
       return;
     }
-    const FlowSearch search = std::move(it->second);
-    searches_.erase(it);
-    for (size_t i = 0; i < search.packets().size(); ++i) {
+    for (size_t i = 0; i < search->packets().size(); ++i) {
       // A probe carried the first packet to this sidecar already.
-      const bool sent = search.probed() && i == 0;
+      const bool sent = search->probed() && i == 0;
       if (!sent) {
-        Forward(from, search.packets()[i], {}, now);
+        Forward(from, search->packets()[i], {}, now);
       }
     }
-    EntryDecision decision;
-    decision.verdict = EntryVerdict::kLocated;
-    decision.flow = key;
-    decision.route = routes_ == nullptr ? nullptr : routes_->Find(key.service);
-    decision.sidecar = from;
-    decision.route_revision = routes_ == nullptr ? 0 : routes_->revision;
-    sink_->Decided(decision);
+    Report(EntryVerdict::kLocated, key, routes_->Find(key.service), from);
   }
 
   void OnNotHeld(const request::Endpoint& from, const request::FlowKey& key,
@@ -505,95 +492,7 @@
     if (flow != flows_.end() && flow->second.holder == from) {
       flows_.erase(flow);
     }
-    const auto it = searches_.find(key);
-    if (it == searches_.end()) {
-      return;
-    }
-    it->second.OnDenied(from);
-    Continue(it, now);
-  }
-
-  void OnUnsure(const request::Endpoint& from, const request::FlowKey& key,
-                TimePoint now) {
-    const auto it = searches_.find(key);
-    if (it != searches_.end()) {
-      it->second.OnUnsure(from);
-      Continue(it, now);
-    }
-  }
-
-  // Takes the next step of a search, which may end it.
-  void Continue(typename Searches::iterator it, TimePoint now) {
-    FlowSearch& search = it->second;
-    const auto gone = [this, now](const request::Endpoint& sidecar) {
-      const UpstreamView* view = upstreams_.Find(sidecar);
-      return view == nullptr || view->Gone(now);
-    };
-    switch (search.Next(now, gone)) {
-      case FlowSearch::Step::kWait:
-        return;
-      case FlowSearch::Step::kProbe:
-        for (const request::Endpoint& sidecar : search.TakeUnsure()) {
-          Forward(sidecar, search.packets().front(), {.probe = true}, now);
-        }
-        return;
-      case FlowSearch::Step::kDenied:
-        OnDeniedByAll(it, now);
-        return;
-    }
-  }
-
-  // No sidecar of the service holds the flow. Another entry instance may have
-  // placed it at an upstream whose record has not come here yet, so the caller
-  // is told only when the records are at least as new as the search.
-  void OnDeniedByAll(typename Searches::iterator it, TimePoint now) {
-    const auto bytes = PacketWithPayload(it->second);
-    if (bytes.empty()) {
-      // Packets without payload may belong to a flow that has ended.
-      Report(EntryVerdict::kNotLocated, it->first,
-             routes_->Find(it->first.service));
-      searches_.erase(it);
-      return;
-    }
-    if (records_complete_at_ < it->second.since()) {
-      WantRecords(now);
-      return;
-    }
-    if (lost_.size() < kMostLost) {
-      lost_[it->first] = now;
-    }
-    searches_.erase(it);
-    if (const auto packet = sink_->Parse(bytes)) {
-      ResetLost(*packet);
-    }
-  }
-
-  // Empty when the search keeps no packet with payload.
-  std::vector<std::byte> PacketWithPayload(const FlowSearch& search) {
-    for (const std::vector<std::byte>& bytes : search.packets()) {
-      const auto packet = sink_->Parse(bytes);
-      if (packet && packet->payload_size > 0) {
-        return bytes;
-      }
-    }
-    return {};
-  }
-
-  void ResetLost(const request::ParsedPacket& packet) {
-    if (packet.payload_size == 0) {
-      return;
-    }
-    sink_->Reset(packet);
-    Report(EntryVerdict::kFlowLost, packet.flow,
-           routes_->Find(packet.flow.service));
-  }
-
-  void WantRecords(TimePoint now) {
-    records_wanted_ = now < next_records_;
-    if (!records_wanted_) {
-      next_records_ = now + kRecordsPeriod;
-      sink_->RefreshRecords();
-    }
+    locator_.OnNotHeld(from, key, now);
   }
 
   void Forward(const request::Endpoint& sidecar,
@@ -625,39 +524,7 @@
     }
   }
 
-  // Upstreams that have become known are asked too; searches that found nothing
-  // end.
-  void ContinueSearches(TimePoint now) {
-    for (auto it = searches_.begin(); it != searches_.end();) {
-      const auto current = it++;
-      FlowSearch& search = current->second;
-      const version::Route* route = routes_->Find(current->first.service);
-      if (route == nullptr || now - search.since() >= kSearchLife) {
-        Report(EntryVerdict::kNotLocated, current->first, route);
-        searches_.erase(current);
-        continue;
-      }
-      AskNewcomers(&search, *route, now);
-      Continue(current, now);
-    }
-  }
-
-  void AskNewcomers(FlowSearch* search, const version::Route& route,
-                    TimePoint now) {
-    const auto packet = sink_->Parse(search->packets().front());
-    if (!packet) {
-      return;
-    }
-    auto sidecars = SidecarsOf(route, packet->flow.service);
-    std::erase_if(sidecars, [search](const request::Endpoint& it) {
-      return search->Asked(it);
-    });
-    Ask(search, *packet, sidecars, now);
-  }
-
   void ExpireFlows(TimePoint now) {
-    absl::erase_if(lost_,
-                   [&](const auto& it) { return now - it.second > kLostLife; });
     const Milliseconds idle =
         routes_ == nullptr ? Milliseconds(0) : routes_->idle_timeout;
     absl::erase_if(flows_, [&](const auto& it) {
@@ -686,15 +553,9 @@
       earlier_services_;
   UpstreamSet upstreams_;
   absl::flat_hash_map<request::FlowKey, Flow, request::FlowKeyHash> flows_;
-  Searches searches_;
-  /// Flows whose callers were told that no upstream holds them, and when.
-  absl::flat_hash_map<request::FlowKey, TimePoint, request::FlowKeyHash> lost_;
+  Host host_{this};
+  FlowLocator<Host> locator_{&host_};
   bool upstreams_known_ = false;
-  /// The records hold every change that the store had taken at this time.
-  TimePoint records_complete_at_;
-  bool records_wanted_ = false;
-  TimePoint next_records_;
-  TimePoint next_search_check_;
   TimePoint next_sweep_;
 };
 
--- a/packages/connection/include/kumquatvalve/connection/flow_search.h
+++ b/packages/connection/include/kumquatvalve/connection/flow_search.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <functional>
 #include <map>
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -54,6 +55,9 @@
     return states_.contains(sidecar);
   }
   bool Denied(const request::Endpoint& sidecar) const;
+  /// Whether the sidecar was asked and has not answered.
+  bool Silent(const request::Endpoint& sidecar) const;
+  std::optional<request::Endpoint> FirstSilent() const;
   bool probed() const { return probed_; }
   TimePoint since() const { return since_; }
   /// The last time that a sidecar was asked.
--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -14,6 +14,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "kumquatvalve/connection/admission_policy.h"
 #include "kumquatvalve/connection/identity_tracker.h"
@@ -170,6 +171,8 @@
       SendReport(entry);
     } else if (message.kind == request::HopKind::kLocate) {
       OnLocate(entry, message);
+    } else if (message.kind == request::HopKind::kList) {
+      ListFlows(entry, message);
     }
   }
 
@@ -364,11 +367,12 @@
         Admit(entry, packet, now);
         return;
       case OfferAnswer::kWait: {
-        WaitingFlow flow = {packet.flow,
-                            packet.sequence,
-                            entry,
-                            now + message.patience,
-                            {packet.bytes.begin(), packet.bytes.end()}};
+        WaitingFlow flow;
+        flow.flow = packet.flow;
+        flow.caller_isn = packet.sequence;
+        flow.entry = entry;
+        flow.until = now + message.patience;
+        flow.bytes.assign(packet.bytes.begin(), packet.bytes.end());
         if (waiting_.Push(std::move(flow))) {
           Report(GateVerdict::kWaiting, packet.flow);
           return;
@@ -500,6 +504,34 @@
                  message.flow);
   }
 
+  // Answers in at least one part, so that a sidecar without flows answers too.
+  void ListFlows(const request::Endpoint& entry,
+                 const request::HopMessage& question) {
+    std::vector<uint32_t> fingerprints;
+    if (question.service == tag_) {
+      for (const auto& [key, flow] : flows_) {
+        fingerprints.push_back(request::Fingerprint(key));
+      }
+    }
+    request::HopMessage answer;
+    answer.kind = request::HopKind::kFlows;
+    answer.service = tag_;
+    answer.list.round = question.list.round;
+    answer.list.unsure = question.service == tag_ && !known_from_start_;
+    answer.list.parts = static_cast<uint16_t>(std::max<size_t>(
+        1, (fingerprints.size() + request::kMostFingerprints - 1) /
+               request::kMostFingerprints));
+    for (uint16_t i = 0; i < answer.list.parts; ++i) {
+      answer.list.part = i;
+      const size_t at = i * request::kMostFingerprints;
+      const size_t n =
+          std::min(request::kMostFingerprints, fingerprints.size() - at);
+      sink_->Send(
+          entry, answer,
+          request::EncodeFingerprints(std::span(fingerprints).subspan(at, n)));
+    }
+  }
+
   void AnswerLocate(const request::Endpoint& entry, request::HopKind kind,
                     const request::FlowKey& flow) {
     if (entry == request::Endpoint()) {
--- a/packages/connection/src/flow_search.cc
+++ b/packages/connection/src/flow_search.cc
@@ -64,4 +64,19 @@
   return it != states_.end() && it->second == State::kDenied;
 }
 
+bool FlowSearch::Silent(const request::Endpoint& sidecar) const {
+  const auto it = states_.find(sidecar);
+  return it != states_.end() &&
+         (it->second == State::kAsked || it->second == State::kProbed);
+}
+
+std::optional<request::Endpoint> FlowSearch::FirstSilent() const {
+  for (const auto& [sidecar, state] : states_) {
+    if (Silent(sidecar)) {
+      return sidecar;
+    }
+  }
+  return std::nullopt;
+}
+
 }  // namespace kumquatvalve::connection
--- a/packages/request/include/kumquatvalve/request/hop_message.h
+++ b/packages/request/include/kumquatvalve/request/hop_message.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <span>
 #include <string_view>
+#include <vector>
 
 #include "kumquatvalve/request/flow_key.h"
 #include "kumquatvalve/request/result_code.h"
@@ -44,6 +45,10 @@
   kHello = 7,
   /// Sidecar to entry: a load report follows.
   kLoad = 8,
+  /// Entry to sidecar: which flows do you hold?
+  kList = 9,
+  /// Sidecar to entry: fingerprints of flows that are held here follow.
+  kFlows = 10,
 };
 
 /// Why a sidecar did not take a packet.
@@ -82,6 +87,28 @@
   friend bool operator==(const UpstreamLoad&, const UpstreamLoad&) = default;
 };
 
+/// A round of questions for all flows, and the place of one part of an answer.
+struct FlowList {
+  /// Numbers the rounds of one entry instance.
+  uint32_t round = 0;
+  uint16_t part = 0;
+  uint16_t parts = 0;
+  /// The sidecar is younger than its upstream and may not have seen all flows.
+  bool unsure = false;
+
+  friend bool operator==(const FlowList&, const FlowList&) = default;
+};
+
+/// A short hash of a flow; equal flows have equal fingerprints.
+uint32_t Fingerprint(const FlowKey& flow);
+
+/// What follows a message of kind `kFlows`, and back.
+std::vector<std::byte> EncodeFingerprints(std::span<const uint32_t> values);
+std::vector<uint32_t> DecodeFingerprints(std::span<const std::byte> bytes);
+
+/// Fingerprints in one datagram, which has at most 1,236 bytes otherwise.
+inline constexpr size_t kMostFingerprints = 300;
+
 /// The part before the packet, if any, of a datagram between an entry instance
 /// and a sidecar. The layout is fixed, since one is read for every packet.
 struct HopMessage {
@@ -104,6 +131,8 @@
   uint32_t acknowledgment = 0;
   /// For `kLoad`.
   UpstreamLoad load;
+  /// For `kList` and `kFlows`.
+  FlowList list;
 };
 
 /// Longest encoding of a message without the packet.
--- a/packages/request/src/hop_message.cc
+++ b/packages/request/src/hop_message.cc
@@ -16,9 +16,10 @@
 constexpr uint8_t kDrainingFlag = 1U << 1;
 constexpr uint8_t kUnresponsiveFlag = 1U << 2;
 constexpr uint8_t kFinalOfferFlag = 1U << 3;
+constexpr uint8_t kUnsureListFlag = 1U << 4;
 
 // The field has 16 bits.
-constexpr int64_t kLongestPatienceMs = 65535;
+constexpr int64_t kLongestTimeMs = 65535;
 
 class Writer {
  public:
@@ -32,6 +33,11 @@
     }
   }
 
+  void Put(std::chrono::milliseconds time) {
+    Put(static_cast<uint16_t>(
+        std::clamp<int64_t>(time.count(), 0, kLongestTimeMs)));
+  }
+
   void Put(const Endpoint& endpoint) {
     for (const uint8_t it : endpoint.address) {
       Put(it);
@@ -88,7 +94,12 @@
 }
 
 bool CarriesPacket(HopKind kind) {
-  return kind == HopKind::kPacket || kind == HopKind::kReturned;
+  return kind == HopKind::kPacket || kind == HopKind::kReturned ||
+         kind == HopKind::kFlows;
+}
+
+bool NamesList(HopKind kind) {
+  return kind == HopKind::kList || kind == HopKind::kFlows;
 }
 
 bool HasPatience(const HopMessage& message) {
@@ -99,7 +110,8 @@
   return (message.probe ? kProbeFlag : 0) |
          (message.final_offer ? kFinalOfferFlag : 0) |
          (message.load.draining ? kDrainingFlag : 0) |
-         (message.load.unresponsive ? kUnresponsiveFlag : 0);
+         (message.load.unresponsive ? kUnresponsiveFlag : 0) |
+         (message.list.unsure ? kUnsureListFlag : 0);
 }
 
 }  // namespace
@@ -135,8 +147,7 @@
   writer.Put(static_cast<uint8_t>(message.reason));
   writer.Put(message.service.value);
   if (HasPatience(message)) {
-    writer.Put(static_cast<uint16_t>(
-        std::clamp<int64_t>(message.patience.count(), 0, kLongestPatienceMs)));
+    writer.Put(message.patience);
   }
   if (NamesFlow(message.kind)) {
     writer.Put(message.flow.caller);
@@ -151,9 +162,43 @@
     writer.Put(message.load.open_flows);
     writer.Put(message.load.service_time_us);
   }
+  if (NamesList(message.kind)) {
+    writer.Put(message.list.round);
+    writer.Put(message.list.part);
+    writer.Put(message.list.parts);
+  }
   return buf;
 }
 
+uint32_t Fingerprint(const FlowKey& flow) {
+  HopBuffer buf;
+  Writer writer(&buf);
+  writer.Put(flow.caller);
+  writer.Put(flow.service);
+  return static_cast<uint32_t>(XXH64(buf.bytes.data(), buf.size, 0));
+}
+
+std::vector<std::byte> EncodeFingerprints(std::span<const uint32_t> values) {
+  std::vector<std::byte> bytes;
+  bytes.reserve(values.size() * sizeof(uint32_t));
+  for (const uint32_t it : values) {
+    for (int shift = 24; shift >= 0; shift -= 8) {
+      bytes.push_back(static_cast<std::byte>(it >> shift));
+    }
+  }
+  return bytes;
+}
+
+std::vector<uint32_t> DecodeFingerprints(std::span<const std::byte> bytes) {
+  std::vector<uint32_t> values;
+  values.reserve(bytes.size() / sizeof(uint32_t));
+  Reader reader(bytes);
+  for (size_t i = 0; i < bytes.size() / sizeof(uint32_t); ++i) {
+    values.push_back(reader.Get<uint32_t>());
+  }
+  return values;
+}
+
 std::optional<HopMessage> DecodeHopMessage(std::span<const std::byte> datagram,
                                            std::span<const std::byte>* packet,
                                            Failure* failure) {
@@ -185,8 +230,14 @@
     message.load.draining = (flags & kDrainingFlag) != 0;
     message.load.unresponsive = (flags & kUnresponsiveFlag) != 0;
   }
+  if (NamesList(message.kind)) {
+    message.list.round = reader.Get<uint32_t>();
+    message.list.part = reader.Get<uint16_t>();
+    message.list.parts = reader.Get<uint16_t>();
+    message.list.unsure = (flags & kUnsureListFlag) != 0;
+  }
   const bool known =
-      message.kind >= HopKind::kPacket && message.kind <= HopKind::kLoad;
+      message.kind >= HopKind::kPacket && message.kind <= HopKind::kFlows;
   if (!reader.ok() || layout != kLayout || !known ||
       (!CarriesPacket(message.kind) && !reader.rest().empty())) {
     *failure = {ResultCode::kBadMessage, "a datagram of " +
