Expect requests only of flows that are likely to send one

Change: a flow that was offered to the upstream counts as work for 30 ms (a request comes within two ways to the caller), and only by the share of such flows that did send a request lately. While an upstream owes the answer to a first packet for longer than that, no waiting flow is handed to it.

--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <cmath>
 #include <concepts>
 #include <cstddef>
 #include <cstdint>
@@ -286,7 +287,7 @@
   static constexpr Milliseconds kEntryLife{10000};
   // A flow that was offered to the upstream and sent no request for this long
   // is no work to come: its caller has left or opened it at another upstream.
-  static constexpr Milliseconds kOpeningWork{100};
+  static constexpr Milliseconds kOpeningWork{30};
   // An upstream that started at most this long (ms) before this process got no
   // flows through an earlier one: that would have had to start, to become
   // known, to end and to be replaced meanwhile.
@@ -296,6 +297,8 @@
   static constexpr size_t kMaxDenials = 20000;
   // Weight of one request in the mean service time.
   static constexpr double kServiceTimeWeight = 0.05;
+  // Weight of one flow in the share of flows that sent a request.
+  static constexpr double kOpenedShareWeight = 0.05;
 
   struct Flow {
     request::Endpoint entry;
@@ -333,10 +336,17 @@
                     waiting_.size()});
   }
 
+  // Requests that flows which were offered to the upstream will send. Callers
+  // that were asked by several entry instances open a flow at one upstream
+  // only, and some have left.
+  size_t ExpectedRequests() const {
+    return static_cast<size_t>(std::ceil(load_.opening * opened_share_));
+  }
+
   OfferState State() const {
     OfferState state;
     state.slots = load_.slots;
-    state.work = size_t{load_.in_progress} + load_.opening;
+    state.work = load_.in_progress + ExpectedRequests();
     state.waiting = waiting_.size();
     state.service_time = std::chrono::microseconds(load_.service_time_us);
     return state;
@@ -415,8 +425,10 @@
       const auto it = flows_.find(admitted_.front().flow);
       // The port may have been used again meanwhile.
       if (it != flows_.end() &&
-          it->second.admitted_at == admitted_.front().at) {
+          it->second.admitted_at == admitted_.front().at &&
+          it->second.opening) {
         EndOpening(&it->second);
+        CountOpening(/*sent_request=*/false);
       }
       admitted_.pop_front();
     }
@@ -425,7 +437,10 @@
   // Hands waiting first packets to the upstream while it has room.
   void AdmitWaiting(TimePoint now) {
     ExpireOpenings(now);
-    while (!waiting_.empty() && HasRoom(State())) {
+    // An upstream that owes an answer may be silent.
+    const bool silent =
+        first_unanswered_ && now - *first_unanswered_ > kOpeningWork;
+    while (!silent && !waiting_.empty() && HasRoom(State())) {
       if (const auto it = waiting_.Pop(now)) {
         Admit(it->entry, it->Packet(), now);
       }
@@ -563,7 +578,15 @@
     sink_->Send(entry, message, packet.bytes);
   }
 
+  void CountOpening(bool sent_request) {
+    opened_share_ +=
+        ((sent_request ? 1.0 : 0.0) - opened_share_) * kOpenedShareWeight;
+  }
+
   void StartRequest(Flow* flow, TimePoint now) {
+    if (flow->opening) {
+      CountOpening(/*sent_request=*/true);
+    }
     EndOpening(flow);
     flow->busy = true;
     flow->request_at = now;
@@ -687,6 +710,8 @@
   WaitingFlows waiting_;
   /// Flows that were admitted lately, in that order.
   std::deque<Admitted> admitted_;
+  /// Share of the flows offered to the upstream that sent a request.
+  double opened_share_ = 1.0;
   /// First packet that the upstream has not answered.
   std::optional<TimePoint> first_unanswered_;
   TimePoint next_trial_;
