Bring back a record that the store lost, and keep its flows meanwhile

Cause: a sidecar looked at its record only after no entry instance had greeted it for 10 s, and an entry instance forgot an upstream with its record: its open flows would have been denied by all and reset. Entries that lapse while the store is away have to be back two seconds after its return. Change: an upstream whose record vanishes stays known while its sidecar lives and does not say that it leaves. It gets new flows for two seconds and is told at once; the sidecar then compares its record with the store and writes it again, at most every two seconds. A sidecar that no entry instance greets does the same after 2 s instead of 10 s. In searches the answer of a sidecar that never answered this process is awaited for 1.5 s instead of 3 s: records outlive machines that are lost.

--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -135,12 +135,14 @@
       case request::HopKind::kLocate:
       case request::HopKind::kHello:
       case request::HopKind::kList:
+      case request::HopKind::kUnlisted:
         return;
     }
   }
 
   /// To be called every `kTick`.
   void OnTick(TimePoint now) {
+    upstreams_.Expire(now);
     GreetUpstreams(now);
     locator_.OnTick(now);
     if (now >= next_sweep_) {
@@ -516,7 +518,8 @@
     for (auto& [sidecar, view] : upstreams_.views()) {
       if (view.GreetingDue(now, kHelloPeriod)) {
         request::HopMessage message;
-        message.kind = request::HopKind::kHello;
+        message.kind = view.listed() ? request::HopKind::kHello
+                                     : request::HopKind::kUnlisted;
         message.service = view.tag();
         view.OnGreeted(now);
         sink_->Send(sidecar, message, {});
--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -82,6 +82,8 @@
   sink.Reset(parsed);
   // Sends a message, followed by a packet or nothing, to an entry instance.
   sink.Send(to, message, packet);
+  // The store has no record of this sidecar, as far as an entry instance knows.
+  sink.RecordMissing();
   sink.Decided(decision);
 };
 
@@ -170,6 +172,9 @@
     NoteEntry(entry, now);
     if (message.kind == request::HopKind::kHello) {
       SendReport(entry);
+    } else if (message.kind == request::HopKind::kUnlisted) {
+      SendReport(entry);
+      sink_->RecordMissing();
     } else if (message.kind == request::HopKind::kLocate) {
       OnLocate(entry, message);
     } else if (message.kind == request::HopKind::kList) {
@@ -267,7 +272,8 @@
   const request::UpstreamLoad& load() const { return load_; }
   size_t waiting() const { return waiting_.size(); }
   const UpstreamIdentity& identity() const { return identity_; }
-  bool heard_entries() const { return !entries_.empty(); }
+  /// When an entry instance was heard last.
+  TimePoint entry_heard_at() const { return entry_heard_at_; }
 
  private:
   using Milliseconds = std::chrono::milliseconds;
@@ -353,6 +359,7 @@
   }
 
   void NoteEntry(const request::Endpoint& entry, TimePoint now) {
+    entry_heard_at_ = now;
     Entry& state = entries_[entry];
     state.heard_at = now;
     state.report_due = true;
@@ -707,6 +714,7 @@
   absl::flat_hash_map<request::FlowKey, TimePoint, request::FlowKeyHash>
       denied_;
   absl::flat_hash_map<request::Endpoint, Entry, EndpointHash> entries_;
+  TimePoint entry_heard_at_;
   WaitingFlows waiting_;
   /// Flows that were admitted lately, in that order.
   std::deque<Admitted> admitted_;
--- a/packages/connection/include/kumquatvalve/connection/upstream_set.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_set.h
@@ -21,10 +21,15 @@
   explicit UpstreamSet(request::AvailabilityZone zone);
 
   /// Replaces the records; what was learned about upstreams that are still the
-  /// same is kept.
+  /// same is kept. An upstream whose record is missing stays known while its
+  /// sidecar lives and does not say that it leaves: the store may have lost the
+  /// record, and its open flows have to be found.
   void Replace(std::span<const version::UpstreamRecord> records, TimePoint now);
 
-  /// Null when no record has the sidecar.
+  /// Forgets upstreams without a record whose sidecars are gone or leave.
+  void Expire(TimePoint now);
+
+  /// Null when no upstream has the sidecar.
   UpstreamView* Find(const request::Endpoint& sidecar);
   const UpstreamView* Find(const request::Endpoint& sidecar) const;
 
--- a/packages/connection/include/kumquatvalve/connection/upstream_view.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_view.h
@@ -22,6 +22,8 @@
   bool Same(const version::UpstreamRecord& record) const;
 
   void OnRecord(const version::UpstreamRecord& record, bool same_zone);
+  /// The store has no record of it any more.
+  void OnUnlisted(TimePoint now);
   void OnLoad(const request::HopMessage& message, TimePoint now);
   /// The sidecar sent any message.
   void OnHeard(TimePoint now);
@@ -38,6 +40,12 @@
   ///   against it then, since the reports may be lost.
   bool MayTake(TimePoint now, bool last_resort) const;
 
+  bool listed() const { return !unlisted_since_; }
+
+  /// Whether an upstream without a record is still to be known: its sidecar
+  /// lives and has not said that the upstream leaves.
+  bool OutlivesRecord(TimePoint now) const;
+
   /// Whether the sidecar has been silent for so long that its machine is taken
   /// to be gone or cut off.
   bool Gone(TimePoint now) const;
@@ -68,6 +76,7 @@
   TimePoint greeted_at_;
   /// First message that the sidecar has not reacted to.
   std::optional<TimePoint> unanswered_since_;
+  std::optional<TimePoint> unlisted_since_;
   /// No new flows before this time.
   TimePoint avoid_until_;
 };
--- a/packages/connection/src/upstream_set.cc
+++ b/packages/connection/src/upstream_set.cc
@@ -26,9 +26,21 @@
     view.OnRecord(it, it.zone == zone_);
     next.emplace(it.sidecar, std::move(view));
   }
+  for (auto& [sidecar, view] : views_) {
+    if (!next.contains(sidecar) && view.OutlivesRecord(now)) {
+      view.OnUnlisted(now);
+      next.emplace(sidecar, std::move(view));
+    }
+  }
   views_ = std::move(next);
 }
 
+void UpstreamSet::Expire(TimePoint now) {
+  std::erase_if(views_, [now](const auto& it) {
+    return !it.second.listed() && !it.second.OutlivesRecord(now);
+  });
+}
+
 UpstreamView* UpstreamSet::Find(const request::Endpoint& sidecar) {
   const auto it = views_.find(sidecar);
   return it == views_.end() ? nullptr : &it->second;
--- a/packages/connection/src/upstream_view.cc
+++ b/packages/connection/src/upstream_view.cc
@@ -17,6 +17,14 @@
 // gone.
 constexpr milliseconds kGoneAfter{3000};
 
+// A sidecar that never answered this process is likelier gone: records outlive
+// machines that are lost. One that is restarting is back within a second.
+constexpr milliseconds kNeverHeardGoneAfter{1500};
+
+// A sidecar whose record vanished from the store writes it again within two
+// seconds; otherwise it is taken to have left.
+constexpr milliseconds kRelistTime{2000};
+
 // An upstream whose queue was full is tried again after about one request.
 constexpr milliseconds kFullPause{30};
 
@@ -45,6 +53,18 @@
                             bool same_zone) {
   record_ = record;
   same_zone_ = same_zone;
+  unlisted_since_.reset();
+}
+
+void UpstreamView::OnUnlisted(TimePoint now) {
+  if (!unlisted_since_) {
+    unlisted_since_ = now;
+    greeted_at_ = TimePoint();
+  }
+}
+
+bool UpstreamView::OutlivesRecord(TimePoint now) const {
+  return heard_at_ && !Gone(now) && !record_.draining && !load_.draining;
 }
 
 void UpstreamView::OnLoad(const request::HopMessage& message, TimePoint now) {
@@ -102,13 +122,17 @@
 }
 
 bool UpstreamView::Gone(TimePoint now) const {
-  return unanswered_since_ && now - *unanswered_since_ > kGoneAfter;
+  const milliseconds time = heard_at_ ? kGoneAfter : kNeverHeardGoneAfter;
+  return unanswered_since_ && now - *unanswered_since_ > time;
 }
 
 bool UpstreamView::MayTake(TimePoint now, bool last_resort) const {
   if (record_.draining || load_.draining) {
     return false;
   }
+  if (unlisted_since_ && now - *unlisted_since_ > kRelistTime) {
+    return false;
+  }
   if (last_resort) {
     return true;
   }
@@ -118,7 +142,10 @@
 
 bool UpstreamView::GreetingDue(TimePoint now,
                                std::chrono::milliseconds period) const {
-  const TimePoint last = std::max(greeted_at_, heard_at_.value_or(TimePoint()));
+  // A sidecar without a record is told so, whatever it sends.
+  const TimePoint heard =
+      listed() ? heard_at_.value_or(TimePoint()) : TimePoint();
+  const TimePoint last = std::max(greeted_at_, heard);
   return greeted_at_ == TimePoint() || now - last >= period;
 }
 
--- a/packages/connection/test/entry_router_test.cc
+++ b/packages/connection/test/entry_router_test.cc
@@ -623,6 +623,44 @@
   CHECK(f.sink.resets.size() == 1);
 }
 
+// The store lost records of sidecars that lived on: their open flows were
+// reset, and they got no new ones until an entry instance restarted.
+TEST_CASE("entry_router: an upstream whose record vanished is told") {
+  Fixture f;
+  f.Syn(1);
+  const Sent first = f.Last();
+  f.router.OnUpstreams({}, f.now, f.now);
+  CHECK(f.sink.Of(HopKind::kUnlisted).size() == 3);
+  f.Wait(milliseconds(1100));
+  CHECK(f.sink.Of(HopKind::kUnlisted).size() == 6);
+  // Its flows go on, and new ones are placed for two seconds.
+  f.Data(1);
+  CHECK(f.Last().to == first.to);
+  f.Syn(2);
+  CHECK(f.sink.resets.empty());
+  f.Wait(milliseconds(1500));
+  f.Syn(3);
+  CHECK(f.sink.resets.size() == 1);
+  f.Data(1);
+  CHECK(f.Last().to == first.to);
+  f.router.OnUpstreams(f.records, f.now, f.now);
+  f.Syn(4);
+  CHECK(f.sink.resets.size() == 1);
+}
+
+TEST_CASE("entry_router: an upstream that left is forgotten with its record") {
+  Fixture f;
+  f.Report(1, {.draining = true});
+  f.records.erase(f.records.begin());
+  f.router.OnUpstreams(f.records, f.now, f.now);
+  CHECK(f.router.upstreams().Find(Record(1, "a").sidecar) == nullptr);
+  // One that falls silent without a record is forgotten too.
+  f.router.OnUpstreams({}, f.now, f.now);
+  f.Syn(9);
+  f.Wait(milliseconds(4500), {1, 2, 3});
+  CHECK(f.router.upstreams().views().empty());
+}
+
 TEST_CASE("entry_router: memory for flows is bounded and no flow is refused") {
   Fixture f;
   // The fixture's router remembers 1,000 flows.
--- a/packages/connection/test/upstream_gate_test.cc
+++ b/packages/connection/test/upstream_gate_test.cc
@@ -36,6 +36,7 @@
     sent.push_back(message);
     last_bytes.assign(packet.begin(), packet.end());
   }
+  void RecordMissing() { ++records_missing; }
   void Decided(const GateDecision& decision) { decisions.push_back(decision); }
 
   const request::HopMessage& last(HopKind kind) const {
@@ -53,6 +54,7 @@
                       [&](const auto& it) { return it.kind == kind; }));
   }
 
+  int records_missing = 0;
   int delivered = 0;
   int answered = 0;
   std::vector<request::HopMessage> sent;
@@ -355,6 +357,17 @@
   CHECK_FALSE(f.sink.last(HopKind::kFlows).list.unsure);
 }
 
+TEST_CASE("upstream_gate: a missing record is reported and answered") {
+  Fixture f;
+  request::HopMessage message;
+  message.kind = HopKind::kUnlisted;
+  message.service = request::ServiceTagOf("patio");
+  const size_t before = f.sink.count(HopKind::kLoad);
+  f.gate.OnHopMessage(kEntry, message, f.now);
+  CHECK(f.sink.records_missing == 1);
+  CHECK(f.sink.count(HopKind::kLoad) == before + 1);
+}
+
 TEST_CASE("upstream_gate: a long list has several parts") {
   Fixture f;
   f.gate.OnIdentity({"patio", "i-1", kYoungUpstream, 1000, false}, f.now);
--- a/packages/process/include/kumquatvalve/process/sidecar_node.h
+++ b/packages/process/include/kumquatvalve/process/sidecar_node.h
@@ -64,6 +64,9 @@
     to_nodes_.Send(request::EncodeHopMessage(message).span(), packet, to);
     counters_.Count(PacketEvent::kForwarded);
   }
+  void RecordMissing() { record_missing_ = true; }
+  /// Whether an entry instance missed the record since the last call.
+  bool TakeRecordMissing() { return std::exchange(record_missing_, false); }
   void Decided(const connection::GateDecision& decision) {
     log_.OnGateDecision(decision, now_);
   }
@@ -85,6 +88,7 @@
   BatchSender to_nodes_;
   BatchSender to_upstream_;
   TimePoint now_;
+  bool record_missing_ = false;
 };
 
 /// The traffic of a sidecar that is controlled through the store: one thread
@@ -95,7 +99,8 @@
   using Clock = std::chrono::steady_clock;
 
   /// `logger` must outlive the node. `on_forgotten` is called by the traffic
-  /// thread when no entry instance was heard for long.
+  /// thread when an entry instance misses the sidecar's record in the store, or
+  /// when none was heard for long.
   SidecarNode(const version::NodeSettings& settings, uint64_t started_ms,
               const Logger* logger, std::function<void()> on_forgotten)
       : settings_(settings),
@@ -120,7 +125,7 @@
 
   void Run() {
     auto next_tick = Clock::now();
-    auto entries_heard = next_tick;
+    auto next_check = next_tick + kForgotten;
     std::optional<Clock::time_point> stop_at;
     while (true) {
       const std::array<int, 2> handles = {output_.hop_socket().handle(),
@@ -142,10 +147,9 @@
         output_.metrics().SetInProgress(gate_.load().in_progress);
       }
       status_.Serve([this] { return Describe(); });
-      if (gate_.heard_entries()) {
-        entries_heard = now_;
-      } else if (now_ - entries_heard > kForgotten) {
-        entries_heard = now_;
+      const bool forgotten = now_ - gate_.entry_heard_at() > kForgotten;
+      if (now_ >= next_check && (output_.TakeRecordMissing() || forgotten)) {
+        next_check = now_ + kForgotten;
         on_forgotten_();
       }
       if (stopping_) {
@@ -177,7 +181,7 @@
   static constexpr uint32_t kUpstreamReadable = 1U << 1;
 
   // Entry instances that know of a sidecar greet it every second.
-  static constexpr std::chrono::milliseconds kForgotten{10000};
+  static constexpr std::chrono::milliseconds kForgotten{2000};
   // Time for the end of the process within its stop timeout.
   static constexpr std::chrono::milliseconds kExitMargin{1500};
 
--- a/packages/request/include/kumquatvalve/request/hop_message.h
+++ b/packages/request/include/kumquatvalve/request/hop_message.h
@@ -49,6 +49,9 @@
   kList = 9,
   /// Sidecar to entry: fingerprints of flows that are held here follow.
   kFlows = 10,
+  /// Entry to sidecar: the store has no record of you any more; send a load
+  /// report.
+  kUnlisted = 11,
 };
 
 /// Why a sidecar did not take a packet.
--- a/packages/request/src/hop_message.cc
+++ b/packages/request/src/hop_message.cc
@@ -237,7 +237,7 @@
     message.list.unsure = (flags & kUnsureListFlag) != 0;
   }
   const bool known =
-      message.kind >= HopKind::kPacket && message.kind <= HopKind::kFlows;
+      message.kind >= HopKind::kPacket && message.kind <= HopKind::kUnlisted;
   if (!reader.ok() || layout != kLayout || !known ||
       (!CarriesPacket(message.kind) && !reader.rest().empty())) {
     *failure = {ResultCode::kBadMessage, "a datagram of " +
--- a/packages/request/test/hop_message_test.cc
+++ b/packages/request/test/hop_message_test.cc
@@ -25,7 +25,7 @@
 }
 
 TEST_CASE("hop_message: every kind is read as it was written") {
-  for (int i = 1; i <= 10; ++i) {
+  for (int i = 1; i <= 11; ++i) {
     const HopMessage message = SampleOf(static_cast<HopKind>(i));
     const HopBuffer buf = EncodeHopMessage(message);
     std::span<const std::byte> packet;
