Measure the service time by admitted flows only, and doubt a very fast upstream

All processes had been killed at 34.0 s; the first answer that the sidecar's new process saw belonged to a request that its upstream had had since before, and became its mean. Flows that waited for the whole time limit of their callers were admitted too late to send a request, so the mean was never corrected. Change: only a flow that this process admitted tells the service time. The entry instance takes no upstream for more than twice as fast as the median of its service. A flow waits for half of its route's time limit at most. Tests: upstream_gate 'only flows admitted here tell the service time', placement 'an upstream that seems too fast draws no more than others'.

--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -343,13 +343,15 @@
     sink_->Decided(decision);
   }
 
-  // Bulk transfers do not wait: most of their time goes by on the way, so that
-  // work in progress says little about free slots.
+  // A flow that opens late in the caller's time limit leaves no time for the
+  // answer: half of it is for waiting. Bulk transfers do not wait: most of
+  // their time goes by on the way, so that work in progress says little about
+  // free slots.
   static Milliseconds PatienceOf(const request::ParsedPacket& packet,
                                  const version::Route& route) {
     return route.shape == version::TrafficShape::kBulk
                ? Milliseconds(0)
-               : std::min(kOpeningPatience - packet.waited, route.timeout);
+               : std::min(kOpeningPatience - packet.waited, route.timeout / 2);
   }
 
   // A reset is true only when no upstream can have taken the flow.
--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -310,6 +310,8 @@
     request::Endpoint entry;
     uint32_t caller_isn = 0;
     std::optional<uint32_t> upstream_isn;
+    /// This process admitted the flow; otherwise it may have missed packets.
+    bool admitted = false;
     bool open = false;
     bool caller_ended = false;
     bool upstream_ended = false;
@@ -413,6 +415,7 @@
     Flow flow;
     flow.entry = entry;
     flow.caller_isn = packet.sequence;
+    flow.admitted = true;
     flow.admitted_at = now;
     flow.last_packet = now;
     flow.opening = true;
@@ -614,6 +617,11 @@
     }
     flow->busy = false;
     --load_.in_progress;
+    if (!flow->admitted) {
+      // The upstream may have had the request since before this process
+      // started, so that its answer comes at once.
+      return;
+    }
     // Requests that found every slot busy waited for some of their time.
     const double waited =
         std::max(1.0, flow->in_progress_at_start /
--- a/packages/connection/src/placement.cc
+++ b/packages/connection/src/placement.cc
@@ -1,6 +1,8 @@
 #include "kumquatvalve/connection/placement.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <vector>
 
 namespace kumquatvalve::connection {
 namespace {
@@ -16,6 +18,11 @@
 // a second, so it takes about 3% of a slot.
 constexpr Microseconds kOpenFlowCost{1500};
 
+// An upstream that seems much faster than its peers fails its requests at once,
+// or its sidecar has measured little: it would draw all new flows. Upstreams of
+// one service run the same work.
+constexpr double kLeastOfMedian = 0.5;
+
 Microseconds CostOf(const PlacementCandidate& candidate,
                     const PlacementSettings& settings) {
   const Microseconds service = candidate.service_time;
@@ -28,6 +35,19 @@
   return cost;
 }
 
+// The service time below which a candidate's own is not believed.
+Microseconds LeastServiceTime(std::span<const PlacementCandidate> candidates) {
+  std::vector<Microseconds> times;
+  times.reserve(candidates.size());
+  for (const PlacementCandidate& it : candidates) {
+    times.emplace_back(it.service_time);
+  }
+  const auto middle =
+      times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+  std::nth_element(times.begin(), middle, times.end());
+  return *middle * kLeastOfMedian;
+}
+
 // Mixes the bits of `value` (the finalizer of SplitMix64).
 uint64_t Mix(uint64_t value) {
   value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ULL;
@@ -47,22 +67,26 @@
 Placement ChooseUpstream(std::span<const PlacementCandidate> candidates,
                          const PlacementSettings& settings, uint64_t random) {
   Placement placement;
-  std::optional<size_t> best;
-  Microseconds best_cost{0};
+  if (candidates.empty()) {
+    return placement;
+  }
+  const auto least = std::chrono::duration_cast<std::chrono::microseconds>(
+      LeastServiceTime(candidates));
+  size_t best = 0;
+  Microseconds best_cost = Microseconds::max();
   uint64_t best_tie = 0;
   for (size_t i = 0; i < candidates.size(); ++i) {
-    const Microseconds cost = CostOf(candidates[i], settings);
+    PlacementCandidate candidate = candidates[i];
+    candidate.service_time = std::max(candidate.service_time, least);
+    const Microseconds cost = CostOf(candidate, settings);
     const uint64_t tie = Mix(random + i);
-    if (!best || cost < best_cost || (cost == best_cost && tie < best_tie)) {
+    if (cost < best_cost || (cost == best_cost && tie < best_tie)) {
       best = i;
       best_cost = cost;
       best_tie = tie;
+      placement.wait = ExpectedWait(candidate);
     }
   }
-  if (!best) {
-    return placement;
-  }
-  placement.wait = ExpectedWait(candidates[*best]);
   if (placement.wait <= settings.longest_wait) {
     placement.chosen = best;
   }
--- a/packages/connection/test/placement_test.cc
+++ b/packages/connection/test/placement_test.cc
@@ -51,6 +51,24 @@
   CHECK(placement.wait > milliseconds(50));
 }
 
+// One upstream whose service time was measured as 0.2 ms drew all new flows of
+// its service: 321 waited there while its peers had free slots.
+TEST_CASE(
+    "placement: an upstream that seems too fast draws no more than others") {
+  auto fast = Candidate(40);
+  fast.service_time = microseconds(200);
+  const std::vector<PlacementCandidate> candidates = {fast, Candidate(4),
+                                                      Candidate(5)};
+  const Placement placement = ChooseUpstream(candidates, kSettings, 1);
+  CHECK(placement.chosen == 1);
+  // Twice as fast as the others is believed.
+  fast.in_progress = 6;
+  fast.service_time = milliseconds(15);
+  CHECK(ChooseUpstream(std::vector{fast, Candidate(6), Candidate(6)}, kSettings,
+                       1)
+            .chosen == 0);
+}
+
 TEST_CASE("placement: ties are spread") {
   const std::vector<PlacementCandidate> candidates(4, Candidate(0));
   std::vector<int> chosen(candidates.size());
--- a/packages/connection/test/upstream_gate_test.cc
+++ b/packages/connection/test/upstream_gate_test.cc
@@ -392,6 +392,24 @@
   CHECK(f.sink.last(HopKind::kFlows).list.unsure);
 }
 
+// A sidecar was killed while its upstream worked. The first answer that its new
+// process saw came at once, so the upstream seemed a hundred times faster than
+// the others and drew all new flows of the service.
+TEST_CASE("upstream_gate: only flows admitted here tell the service time") {
+  Fixture f(kOldUpstream);
+  f.FromUpstream(f.Upstream(1));
+  f.FromCaller(f.Data(1));
+  f.now += std::chrono::microseconds(200);
+  f.FromUpstream(f.AnswerData(1));
+  CHECK(f.gate.load().in_progress == 0);
+  CHECK(f.gate.load().service_time_us == 0);
+  f.Open(2);
+  f.FromCaller(f.Data(2));
+  f.now += milliseconds(30);
+  f.FromUpstream(f.AnswerData(2));
+  CHECK(f.gate.load().service_time_us == 30000);
+}
+
 // After a loss of power all callers return at once; upstreams rejected what
 // their queues could not hold.
 TEST_CASE(
