Count no copies of requests as work, and end work that gets no answer

Sidecars with 3 slots never had fewer than 4 to 11 requests in progress and held back new flows. A caller whose answer is on its way sends its request again; such a copy counted as a request until the next one of its flow, and the data of an upload that its caller gave up, for a minute. Change: a sidecar keeps the sequence number up to which the upstream has the caller's data, from the caller's packets and the upstream's acknowledgments; only newer data is a request. A request without an answer counts for 5 s. Tests: upstream_gate 'a copy of a request is no new work', '... that an earlier process handed over ...', 'work without an answer ends'.

--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -199,6 +199,9 @@
     }
     Flow& flow = it->second;
     flow.last_packet = now;
+    if (packet.ack) {
+      NoteReceived(&flow, packet.acknowledgment);
+    }
     if (packet.syn) {
       flow.upstream_isn = packet.sequence;
     } else if (packet.payload_size > 0) {
@@ -298,6 +301,10 @@
   // flows through an earlier one: that would have had to start, to become
   // known, to end and to be replaced meanwhile.
   static constexpr uint64_t kHeadStart = 1000;
+  // A request that has no answer after this time will have none: its caller
+  // gave up in the middle of an upload, or the answer was lost with an earlier
+  // process. Requests take less than half a second in a slot.
+  static constexpr Milliseconds kLongestWork{5000};
   // How long the upstream's word that it does not hold a flow is believed.
   static constexpr Milliseconds kDenialLife{10000};
   static constexpr size_t kMaxDenials = 20000;
@@ -320,6 +327,9 @@
     /// Counted as work to come.
     bool opening = false;
     uint16_t in_progress_at_start = 0;
+    /// The sequence number after the caller's data that was handed over;
+    /// nothing before the first.
+    std::optional<uint32_t> caller_next;
     TimePoint request_at;
     TimePoint last_packet;
     TimePoint admitted_at;
@@ -477,7 +487,7 @@
     flow->entry = entry;
     flow->open = true;
     flow->last_packet = now;
-    if (packet.payload_size > 0 && !flow->busy) {
+    if (packet.payload_size > 0 && IsNew(flow, packet) && !flow->busy) {
       StartRequest(flow, now);
     }
     if (packet.fin || packet.rst) {
@@ -588,6 +598,25 @@
     sink_->Send(entry, message, packet.bytes);
   }
 
+  static bool IsAfter(uint32_t sequence, uint32_t other) {
+    return static_cast<int32_t>(sequence - other) > 0;
+  }
+
+  static void NoteReceived(Flow* flow, uint32_t next) {
+    if (!flow->caller_next || IsAfter(next, *flow->caller_next)) {
+      flow->caller_next = next;
+    }
+  }
+
+  // Whether a packet carries data that the upstream has not had. A caller whose
+  // answer is on its way may send its request again.
+  static bool IsNew(Flow* flow, const request::ParsedPacket& packet) {
+    const uint32_t next = packet.sequence + packet.payload_size;
+    const bool is_new = !flow->caller_next || IsAfter(next, *flow->caller_next);
+    NoteReceived(flow, next);
+    return is_new;
+  }
+
   void CountOpening(bool sent_request) {
     opened_share_ +=
         ((sent_request ? 1.0 : 0.0) - opened_share_) * kOpenedShareWeight;
@@ -687,6 +716,9 @@
   void Sweep(TimePoint now) {
     absl::erase_if(flows_, [&](auto& it) {
       Flow& flow = it.second;
+      if (flow.busy && now - flow.request_at > kLongestWork) {
+        EndWork(&flow);
+      }
       const auto age = now - flow.last_packet;
       const bool ended = flow.caller_ended || flow.upstream_ended;
       const bool old = ended       ? age > kEndedLife
--- a/packages/connection/test/upstream_gate_test.cc
+++ b/packages/connection/test/upstream_gate_test.cc
@@ -410,6 +410,46 @@
   CHECK(f.gate.load().service_time_us == 30000);
 }
 
+// Copies of requests that had been answered counted as work until the next
+// request of their flow: sidecars held back new flows while slots were free.
+TEST_CASE("upstream_gate: a copy of a request is no new work") {
+  Fixture f;
+  f.Open(1);
+  f.FromCaller(f.Data(1));
+  f.FromUpstream(f.AnswerData(1));
+  f.FromCaller(f.Data(1));
+  CHECK(f.gate.load().in_progress == 0);
+  auto next = f.Data(1);
+  next.sequence += next.payload_size;
+  f.FromCaller(next);
+  CHECK(f.gate.load().in_progress == 1);
+}
+
+TEST_CASE(
+    "upstream_gate: a copy of a request that an earlier process handed over is "
+    "no new work") {
+  Fixture f(kOldUpstream);
+  auto answer = f.AnswerData(1);
+  answer.acknowledgment = f.Data(1).sequence + 100;
+  f.FromUpstream(answer);
+  f.FromCaller(f.Data(1));
+  CHECK(f.gate.load().in_progress == 0);
+}
+
+// Uploads whose callers gave up counted as work for a minute.
+TEST_CASE("upstream_gate: work without an answer ends") {
+  Fixture f;
+  f.Open(1);
+  f.FromCaller(f.Data(1));
+  f.Wait(milliseconds(4000));
+  CHECK(f.gate.load().in_progress == 1);
+  f.Wait(milliseconds(3000));
+  CHECK(f.gate.load().in_progress == 0);
+  // A late answer counts nothing.
+  f.FromUpstream(f.AnswerData(1));
+  CHECK(f.gate.load().in_progress == 0);
+}
+
 // After a loss of power all callers return at once; upstreams rejected what
 // their queues could not hold.
 TEST_CASE(
