Know a probe by the packet that it asks about, and trace wrong-service

A trace: flow 145471, 12.007 s, four empty packets at upstreams of the service that took over the address, each with the sequence number isn + 0 while the caller's next one was isn + 17. They are probes for the caller's acknowledgment with isn + 1, which was on its way when the caller's next request was answered. The check knew a probe only by the caller's last sequence number. Change: a probe is an empty packet without SYN, FIN and RST whose number is the one before any packet of the caller. A FIN never counts as a probe any more.

--- a/bench/fake_network.cc
+++ b/bench/fake_network.cc
@@ -55,6 +55,20 @@
   return payload;
 }
 
+// Whether an empty packet is a probe of a router, which carries nothing of a
+// flow: its sequence number is the one before a packet's of the caller. That
+// packet may be older than the caller's last one. A caller's own empty packets
+// have the number of one of its requests, or the FIN.
+bool IsProbe(const request::ParsedPacket& packet, uint32_t isn,
+             uint32_t send_next) {
+  if (packet.syn || packet.fin || packet.rst) {
+    return false;
+  }
+  const uint32_t sent = packet.sequence - isn;
+  return packet.sequence + 1 == send_next ||
+         (sent < send_next - isn && sent % sizeof(Payload) == 0);
+}
+
 // Sets PSH in a segment that BuildSegment made.
 void SetPush(std::vector<std::byte>* bytes) {
   constexpr size_t kFlagsOffset = 20 + 13;
@@ -871,8 +885,7 @@
       caller.payload_upstream = static_cast<int32_t>(index);
     }
   } else if (services_[caller.service]->id.value != own &&
-             (packet->syn || packet->sequence + 1 != caller.send_next)) {
-    // Probes, which have the sequence number before, carry nothing of a flow.
+             !IsProbe(*packet, caller.isn, caller.send_next)) {
     ++results_.wrong_service;
   }
   if (packet->syn && packet->sequence == caller.isn) {
