Remove records of machines that are gone

Cause: nothing in the store expires, and a machine that loses power removes no record; each one stayed for good, was greeted every second and awaited in each search. Change: an entry instance removes the record of a sidecar that has not reacted for 60 to 90 s, at different times in different instances and once for each start of an upstream, as long as at most a third of its service is silent. The removal is conditional: only the record that was known is removed. A sidecar that was taken for gone by mistake writes its record again.

--- a/packages/connection/include/kumquatvalve/connection/entry_decision.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_decision.h
@@ -71,6 +71,7 @@
                              const request::HopMessage& message,
                              std::span<const std::byte> packet,
                              const request::ParsedPacket& parsed,
+                             const version::UpstreamRecord& record,
                              const EntryDecision& decision) {
   // Sends a message, followed by a packet or nothing, to a sidecar.
   sink.Send(to, message, packet);
@@ -80,6 +81,8 @@
   { sink.Parse(packet) } -> std::same_as<std::optional<request::ParsedPacket>>;
   // Reads the upstream records from the store at once; `OnUpstreams` follows.
   sink.RefreshRecords();
+  // Removes the record of a machine that is gone from the store.
+  sink.RemoveRecord(record);
   sink.Decided(decision);
 };
 
--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -19,6 +19,7 @@
 #include "kumquatvalve/connection/entry_decision.h"
 #include "kumquatvalve/connection/flow_locator.h"
 #include "kumquatvalve/connection/placement.h"
+#include "kumquatvalve/connection/stale_records.h"
 #include "kumquatvalve/connection/upstream_set.h"
 #include "kumquatvalve/request/flow_key.h"
 #include "kumquatvalve/request/hop_message.h"
@@ -148,6 +149,9 @@
     if (now >= next_sweep_) {
       next_sweep_ = now + kSweepPeriod;
       ExpireFlows(now);
+      for (const auto& it : stale_records_.Find(upstreams_, now)) {
+        sink_->RemoveRecord(it);
+      }
     }
   }
 
@@ -558,6 +562,7 @@
       earlier_services_;
   UpstreamSet upstreams_;
   absl::flat_hash_map<request::FlowKey, Flow, request::FlowKeyHash> flows_;
+  StaleRecords stale_records_{config_.seed};
   Host host_{this};
   FlowLocator<Host> locator_{&host_};
   bool upstreams_known_ = false;
--- a/packages/connection/include/kumquatvalve/connection/upstream_view.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_view.h
@@ -50,6 +50,9 @@
   /// to be gone or cut off.
   bool Gone(TimePoint now) const;
 
+  /// How long the sidecar has not reacted to messages; 0 while it does.
+  std::chrono::milliseconds SilentTime(TimePoint now) const;
+
   bool GreetingDue(TimePoint now, std::chrono::milliseconds period) const;
 
   PlacementCandidate Candidate() const;
--- a/packages/connection/src/upstream_view.cc
+++ b/packages/connection/src/upstream_view.cc
@@ -126,6 +126,12 @@
   return unanswered_since_ && now - *unanswered_since_ > time;
 }
 
+milliseconds UpstreamView::SilentTime(TimePoint now) const {
+  return unanswered_since_
+             ? duration_cast<milliseconds>(now - *unanswered_since_)
+             : milliseconds(0);
+}
+
 bool UpstreamView::MayTake(TimePoint now, bool last_resort) const {
   if (record_.draining || load_.draining) {
     return false;
--- a/packages/connection/test/entry_router_test.cc
+++ b/packages/connection/test/entry_router_test.cc
@@ -44,6 +44,9 @@
     return packets.at(static_cast<size_t>(packet.front()));
   }
   void RefreshRecords() { ++record_reads; }
+  void RemoveRecord(const version::UpstreamRecord& record) {
+    removed.push_back(record.sidecar);
+  }
   void Decided(const EntryDecision& decision) {
     verdicts.push_back(decision.verdict);
   }
@@ -60,6 +63,7 @@
   std::vector<request::ParsedPacket> packets;
   std::vector<EntryVerdict> verdicts;
   int record_reads = 0;
+  std::vector<request::Endpoint> removed;
 };
 
 version::UpstreamRecord Record(int i, const std::string& zone,
@@ -661,6 +665,14 @@
   CHECK(f.router.upstreams().views().empty());
 }
 
+TEST_CASE("entry_router: the record of a machine that is gone is removed") {
+  Fixture f;
+  // The fixture's seed adds 1 ms to the time.
+  f.Wait(milliseconds(70000), {3});
+  CHECK(f.sink.removed ==
+        std::vector<request::Endpoint>{Record(3, "b").sidecar});
+}
+
 TEST_CASE("entry_router: memory for flows is bounded and no flow is refused") {
   Fixture f;
   // The fixture's router remembers 1,000 flows.
--- a/packages/process/include/kumquatvalve/process/entry_node.h
+++ b/packages/process/include/kumquatvalve/process/entry_node.h
@@ -26,12 +26,20 @@
  public:
   using TimePoint = std::chrono::steady_clock::time_point;
 
-  /// `refresh_records` is called when the upstream records have to be read
-  /// again at once.
+  /// What the traffic thread asks of the threads that talk to the store.
+  struct Requests {
+    /// The process did not run for a while.
+    std::function<void()> on_pause;
+    /// The upstream records have to be read again at once.
+    std::function<void()> refresh_records;
+    /// A machine is gone; its record is to be removed.
+    std::function<void(const version::UpstreamRecord&)> remove_record;
+  };
+
   EntryOutput(const version::NodeSettings& settings, const Logger* logger,
-              std::function<void()> refresh_records)
+              Requests requests)
       : caller_port_(settings.packets.port),
-        refresh_records_(std::move(refresh_records)),
+        requests_(std::move(requests)),
         log_(logger),
         metrics_(&log_),
         to_callers_(&caller_socket_, &counters_),
@@ -64,7 +72,11 @@
     request::Failure failure;
     return F::Parse(packet, &failure);
   }
-  void RefreshRecords() { refresh_records_(); }
+  void RefreshRecords() { requests_.refresh_records(); }
+  void RemoveRecord(const version::UpstreamRecord& record) {
+    requests_.remove_record(record);
+  }
+  void Paused() { requests_.on_pause(); }
   void Decided(const connection::EntryDecision& decision) {
     log_.OnEntryDecision(decision, now_);
     if (decision.verdict == connection::EntryVerdict::kPlaced) {
@@ -80,7 +92,7 @@
 
  private:
   uint16_t caller_port_;
-  std::function<void()> refresh_records_;
+  Requests requests_;
   DecisionLog log_;
   NodeMetrics metrics_;
   UdpSocket caller_socket_;
@@ -98,20 +110,13 @@
  public:
   using Clock = std::chrono::steady_clock;
 
-  /// What the traffic thread asks of the threads that talk to the store.
-  struct Requests {
-    /// The process did not run for a while.
-    std::function<void()> on_pause;
-    /// The upstream records have to be read again at once.
-    std::function<void()> refresh_records;
-  };
+  using Requests = typename EntryOutput<F>::Requests;
 
   /// `logger` must outlive the node.
   EntryNode(const version::NodeSettings& settings, const Logger* logger,
             Requests requests)
       : settings_(settings),
-        on_pause_(std::move(requests.on_pause)),
-        output_(settings, logger, std::move(requests.refresh_records)),
+        output_(settings, logger, std::move(requests)),
         router_({settings.availability_zone, kMaxFlows, SeedOf(settings)},
                 &output_) {}
 
@@ -165,7 +170,7 @@
       status_.Serve([this] { return Describe(); });
       output_.Flush();
       if (pauses_.OnLoop(now_, std::chrono::system_clock::now())) {
-        on_pause_();
+        output_.Paused();
       }
       if (stopping_) {
         stop_at = stop_at.value_or(now_ + settings_.stop_timeout - kExitMargin);
@@ -290,7 +295,6 @@
   }
 
   version::NodeSettings settings_;
-  std::function<void()> on_pause_;
   EntryOutput<F> output_;
   ReceiveBatch in_;
   StatusRequest status_;
--- a/packages/process/include/kumquatvalve/process/log_event.h
+++ b/packages/process/include/kumquatvalve/process/log_event.h
@@ -28,6 +28,7 @@
   kTableWritten = 1301,
   kTableWriteFailed = 1302,
   kTableUnreadable = 1303,
+  kRecordRemoved = 1304,
   kStoreUnavailable = 1401,
   kStoreAvailable = 1402,
   kPeerTold = 1403,
--- a/packages/process/src/log_event.cc
+++ b/packages/process/src/log_event.cc
@@ -38,6 +38,8 @@
       return "table_write_failed";
     case LogEvent::kTableUnreadable:
       return "table_unreadable";
+    case LogEvent::kRecordRemoved:
+      return "record_removed";
     case LogEvent::kStoreUnavailable:
       return "store_unavailable";
     case LogEvent::kStoreAvailable:
--- a/packages/process/src/peer_client.cc
+++ b/packages/process/src/peer_client.cc
@@ -5,6 +5,8 @@
 #include <chrono>
 #include <utility>
 
+#include "kumquatvalve/process/http_client.h"
+
 namespace kumquatvalve::process {
 namespace {
 
@@ -18,7 +20,7 @@
 constexpr int kNotModified = 304;
 
 httplib::Client Connect(const request::Endpoint& peer) {
-  httplib::Client client("http://" + request::ToString(peer));
+  httplib::Client client = MakeHttpClient(peer);
   client.set_connection_timeout(kPeerTimeout);
   client.set_read_timeout(kPeerTimeout);
   client.set_write_timeout(kPeerTimeout);
--- a/packages/process/test/record_keeper_test.cc
+++ b/packages/process/test/record_keeper_test.cc
@@ -6,6 +6,8 @@
 #include <string>
 #include <thread>
 
+#include "kumquatvalve/process/record_remover.h"
+
 namespace kumquatvalve::process {
 namespace {
 
@@ -184,6 +186,32 @@
   CHECK(f.store.objects.empty());
 }
 
+// A sidecar that was taken for gone may have written its record meanwhile.
+TEST_CASE("record_remover: only an unchanged record is removed") {
+  FakeStore store;
+  store.objects["u/1"] = {"u/1", TableVersion{3}, "old"};
+  store.objects["u/2"] = {"u/2", TableVersion{4}, "new"};
+  std::vector<std::string> ends;
+  RecordRemover<FakeStore>* running = nullptr;
+  RecordRemover<FakeStore> remover(
+      &store,
+      {[&](const std::string& path) { ends.push_back("removed " + path); },
+       [&](const std::string& path, const Failure& failure) {
+         ends.push_back("kept " + path);
+         if (failure.code == ResultCode::kNotFound) {
+           running->Stop();
+         }
+       }});
+  running = &remover;
+  remover.Remove({"u/1", {}, "old"});
+  remover.Remove({"u/2", {}, "old"});
+  remover.Remove({"u/3", {}, "old"});
+  remover.Run();
+  CHECK(ends ==
+        std::vector<std::string>{"removed u/1", "kept u/2", "kept u/3"});
+  CHECK(store.objects.size() == 1);
+}
+
 // Peers are told of a record that the store does not take.
 TEST_CASE("record_keeper: a record is pending until the store has it") {
   Fixture f;
