--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -398,6 +398,7 @@
     }
     const auto views = upstreams_.Takers(share->tag, excluded, now);
     std::vector<PlacementCandidate> candidates;
+    candidates.reserve(views.size());
     for (const UpstreamView* it : views) {
       candidates.push_back(it->Candidate());
     }
--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -366,7 +366,7 @@
     state.slots = load_.slots;
     state.work = load_.in_progress + ExpectedRequests();
     state.waiting = waiting_.size();
-    state.service_time = std::chrono::microseconds(load_.service_time_us);
+    state.service_time = std::chrono::microseconds{load_.service_time_us};
     return state;
   }
 
--- a/packages/connection/src/record_book.cc
+++ b/packages/connection/src/record_book.cc
@@ -35,7 +35,8 @@
   if (stored != stored_.end() && !Newer(record, stored->second)) {
     return false;
   }
-  const auto [it, inserted] = told_.try_emplace(record.sidecar, record, now);
+  const auto [it, inserted] =
+      told_.try_emplace(record.sidecar, Told{record, now});
   if (inserted) {
     return true;
   }
--- a/packages/connection/test/entry_router_test.cc
+++ b/packages/connection/test/entry_router_test.cc
@@ -313,6 +313,7 @@
   answer.list = f->sink.Of(HopKind::kList).back().message.list;
   answer.list.parts = 1;
   std::vector<uint32_t> fingerprints;
+  fingerprints.reserve(ports.size());
   for (const uint16_t it : ports) {
     fingerprints.push_back(request::Fingerprint(f->Make(it).flow));
   }
