--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -4,10 +4,8 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <algorithm>
-#include <array>
 #include <chrono>
 #include <cmath>
-#include <concepts>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -18,6 +16,7 @@
 #include <vector>
 
 #include "kumquatvalve/connection/admission_policy.h"
+#include "kumquatvalve/connection/gate_decision.h"
 #include "kumquatvalve/connection/identity_tracker.h"
 #include "kumquatvalve/connection/offer_decision.h"
 #include "kumquatvalve/connection/waiting_flows.h"
@@ -27,66 +26,6 @@
 
 namespace kumquatvalve::connection {
 
-/// What a sidecar decided about a packet; for logs and counters.
-enum class GateVerdict : uint8_t {
-  /// A first packet was delivered to the upstream.
-  kAdmitted,
-  /// A first packet was returned to its entry instance.
-  kReturned,
-  /// A flow that the upstream holds was not known and is known now.
-  kAdopted,
-  /// A packet of an unknown flow was delivered to ask the upstream.
-  kProbed,
-  /// A packet of a flow that is not held here.
-  kNotHeld,
-  /// The upstream does not hold a flow that was known here.
-  kLost,
-  /// The upstream stopped or began again to answer first packets.
-  kUnresponsive,
-  kResponsive,
-  /// A first packet waits until the upstream has room.
-  kWaiting,
-};
-
-inline constexpr size_t kGateVerdicts = 9;
-
-constexpr std::string_view Name(GateVerdict verdict) {
-  constexpr std::array<std::string_view, kGateVerdicts> kNames = {
-      "admitted", "returned",     "adopted",    "probed", "not_held",
-      "lost",     "unresponsive", "responsive", "waiting"};
-  return kNames[static_cast<size_t>(verdict)];
-}
-
-/// A decision about a flow with the inputs that led to it.
-struct GateDecision {
-  GateVerdict verdict = GateVerdict::kAdmitted;
-  request::FlowKey flow;
-  request::ReturnReason reason = request::ReturnReason::kNone;
-  uint16_t in_progress = 0;
-  uint16_t opening = 0;
-  size_t waiting = 0;
-};
-
-/// What a sidecar's gate lets happen.
-template <typename S>
-concept GateSink = requires(S sink, const request::Endpoint& to,
-                            const request::HopMessage& message,
-                            std::span<const std::byte> packet,
-                            const request::ParsedPacket& parsed,
-                            const GateDecision& decision) {
-  // Hands a caller's packet to the upstream.
-  sink.Deliver(packet);
-  // Sends the upstream's packet to the caller.
-  sink.Answer(to, packet);
-  // Resets the flow of a caller's packet.
-  sink.Reset(parsed);
-  // Sends a message, followed by a packet or nothing, to an entry instance.
-  sink.Send(to, message, packet);
-  // The store has no record of this sidecar, as far as an entry instance knows.
-  sink.RecordMissing();
-  sink.Decided(decision);
-};
-
 /// The decisions of the sidecar beside one upstream: which first packets the
 /// upstream gets, which flows it holds, and how loaded it is. A function of
 /// packets, messages of entry instances, the upstream's own word and a
--- a/packages/process/include/kumquatvalve/process/entry_knowledge.h
+++ b/packages/process/include/kumquatvalve/process/entry_knowledge.h
@@ -72,6 +72,13 @@
   /// Whether both the configuration and the upstreams are known.
   bool Complete() const;
 
+  /// Whether other entry instances are to be asked: something is not known, or
+  /// changes of it would not be noticed.
+  /// @param store_answers the last calls about both were answered.
+  bool NeedsPeers(bool store_answers) const {
+    return !store_answers || !Complete();
+  }
+
  private:
   void PublishRecords();
 
--- a/packages/process/test/entry_knowledge_test.cc
+++ b/packages/process/test/entry_knowledge_test.cc
@@ -78,6 +78,8 @@
   CHECK_FALSE(fresh.knowledge.Complete());
   fresh.knowledge.OnPeer(old.knowledge.Snapshot(), fresh.now);
   CHECK(fresh.knowledge.Complete());
+  CHECK_FALSE(fresh.knowledge.NeedsPeers(/*store_answers=*/true));
+  CHECK(fresh.knowledge.NeedsPeers(/*store_answers=*/false));
   CHECK(fresh.versions == std::vector<uint64_t>{3});
   REQUIRE(fresh.upstreams.size() == 1);
   CHECK(fresh.upstreams[0].size() == 1);
