Believe no acknowledgment before the upstream's answer, nor an old route table

Change: a flow that this sidecar admitted and whose upstream has not answered is denied when the caller acknowledges an answer; the answer to a first packet opens no flow. An open flow without a route is reset only while the store has told the routes and still answers. Tests: upstream_gate 'a request that comes before the upstream's answer to the first packet belongs to another upstream' (fails without either part), entry_router 'an open flow without a route is not reset while a newer version may have it'.

--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -64,6 +64,10 @@
     return true;
   }
 
+  /// Whether the routes in force are known to be the newest: the store told
+  /// them and still answers. At first they are taken to be.
+  void OnRoutesState(bool current) { routes_current_ = current; }
+
   /// Replaces the upstream records.
   /// @param complete_at the records hold every change that the store had taken
   ///   at this time.
@@ -293,7 +297,10 @@
       return;
     }
     const bool known = flows_.erase(packet.flow) != 0;
-    sink_->Reset(packet);
+    // A newer version may have the route; another instance opened the flow.
+    if (packet.IsFirst() || routes_current_) {
+      sink_->Reset(packet);
+    }
     Report(known ? EntryVerdict::kRouteRemoved : EntryVerdict::kNoRoute,
            packet.flow, nullptr);
   }
@@ -559,6 +566,7 @@
   uint64_t random_;
   S* sink_;
   std::shared_ptr<const version::RouteMap> routes_;
+  bool routes_current_ = true;
   std::map<request::Endpoint, std::vector<request::ServiceTag>>
       earlier_services_;
   UpstreamSet upstreams_;
--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -133,7 +133,8 @@
     auto it = flows_.find(key);
     if (it == flows_.end()) {
       it = flows_.emplace(key, Flow()).first;
-      it->second.open = true;
+      // The answer to a first packet opens nothing.
+      it->second.open = !packet.syn;
       Report(GateVerdict::kAdopted, key);
     }
     Flow& flow = it->second;
@@ -414,9 +415,12 @@
 
   void OnKnownFlow(const request::Endpoint& entry, Flow* flow,
                    const request::ParsedPacket& packet, TimePoint now) {
+    // A caller that acknowledges an answer before this upstream's has passed
+    // here opened the flow elsewhere, too.
     const bool other_upstream_chosen =
-        !flow->open && flow->upstream_isn && packet.ack &&
-        packet.acknowledgment != *flow->upstream_isn + 1;
+        !flow->open && packet.ack &&
+        (flow->upstream_isn ? packet.acknowledgment != *flow->upstream_isn + 1
+                            : flow->admitted);
     if (other_upstream_chosen) {
       EndWork(flow);
       flows_.erase(packet.flow);
--- a/packages/connection/test/entry_router_test.cc
+++ b/packages/connection/test/entry_router_test.cc
@@ -202,6 +202,31 @@
   CHECK(f.sink.Of(HopKind::kPacket).size() == before);
 }
 
+// An instance that restarted while the store was away had an older version from
+// a peer and reset flows on a route that it did not know.
+TEST_CASE(
+    "entry_router: an open flow without a route is not reset while a newer "
+    "version may have it") {
+  Fixture f;
+  f.router.OnRoutesState(false);
+  auto packet = f.Make(1);
+  packet.flow.service.port = 444;
+  packet.ack = true;
+  packet.payload_size = 100;
+  f.Feed(packet);
+  CHECK(f.sink.resets.empty());
+  // A caller whose first packet is reset tries again, perhaps elsewhere.
+  packet.ack = false;
+  packet.syn = true;
+  f.Feed(packet);
+  CHECK(f.sink.resets.size() == 1);
+  f.router.OnRoutesState(true);
+  packet.syn = false;
+  packet.ack = true;
+  f.Feed(packet);
+  CHECK(f.sink.resets.size() == 2);
+}
+
 TEST_CASE("entry_router: an older version of the routes is ignored") {
   Fixture f;
   CHECK(f.router.OnRoutes(Routes(5, "evidencia")));
--- a/packages/connection/test/upstream_gate_test.cc
+++ b/packages/connection/test/upstream_gate_test.cc
@@ -392,6 +392,24 @@
   CHECK(f.sink.last(HopKind::kFlows).list.unsure);
 }
 
+// Two entry instances placed the copies of one first packet at two upstreams.
+// The caller took the answer of one; its request came to the other one before
+// that had answered, and ran at both.
+TEST_CASE(
+    "upstream_gate: a request that comes before the upstream's answer to the "
+    "first packet belongs to another upstream") {
+  Fixture f;
+  f.FromCaller(f.Syn(1));
+  const int before = f.sink.delivered;
+  f.FromCaller(f.Data(1));
+  CHECK(f.sink.delivered == before);
+  CHECK(f.sink.count(HopKind::kNotHeld) == 1);
+  CHECK(f.gate.load().in_progress == 0);
+  f.FromUpstream(f.SynAck(1));
+  f.FromCaller(f.Data(1, 901));
+  CHECK(f.sink.delivered == before);
+}
+
 // A sidecar was killed while its upstream worked. The first answer that its new
 // process saw came at once, so the upstream seemed a hundred times faster than
 // the others and drew all new flows of the service.
--- a/packages/process/include/kumquatvalve/process/entry_node.h
+++ b/packages/process/include/kumquatvalve/process/entry_node.h
@@ -140,6 +140,9 @@
   void PublishStoreState(bool answers) { store_answers_ = answers; }
   bool store_answers() const { return store_answers_; }
 
+  /// Whether the routes are known to be the newest.
+  void PublishRoutesState(bool current) { routes_current_ = current; }
+
   /// Whether packets can be routed.
   bool Ready() const { return has_routes_ && has_upstreams_ && !stopping_; }
 
@@ -254,6 +257,7 @@
   }
 
   void TakeUpdates() {
+    router_.OnRoutesState(routes_current_);
     if (auto routes = routes_.Take()) {
       router_.OnRoutes(std::move(*routes));
     }
@@ -304,6 +308,7 @@
   std::atomic<bool> has_routes_{false};
   std::atomic<bool> has_upstreams_{false};
   std::atomic<bool> store_answers_{true};
+  std::atomic<bool> routes_current_{false};
   std::atomic<bool> stopping_{false};
   Clock::time_point now_;
   Router router_;
