--- a/bench/prove_datapath.cc
+++ b/bench/prove_datapath.cc
@@ -33,7 +33,7 @@
 constexpr double kForwardBound = 0.7;
 constexpr uint32_t kRows = 512;
 // Alternating rounds; the middle one of each kind is compared, so that a
-// disturbance of a few rounds does not count.
+// delay of a few rounds does not count.
 constexpr int kRounds = 31;
 
 Endpoint Ipv4(uint8_t a, uint8_t b, uint8_t c, uint8_t d, uint16_t port) {
--- a/packages/process/include/kumquatvalve/process/http_client.h
+++ b/packages/process/include/kumquatvalve/process/http_client.h
@@ -11,9 +11,9 @@
 
 httplib::Client MakeHttpClient(const request::Endpoint& server);
 
-/// @param url for example "http://127.0.0.1:9000". An address in numbers costs
-///   a hundredth of the time of a name: the library reads URLs with a regular
-///   expression, which is a twentieth of the start of a process.
+/// @param url for example "http://127.0.0.1:9000". The library reads a URL with
+///   a regular expression, a twentieth of the instructions of a start; an
+///   address in numbers is read without it.
 httplib::Client MakeHttpClient(const std::string& url);
 
 }  // namespace kumquatvalve::process
