Keep odd entries from ending or blinding a process

Cause: a page of upstream records was parsed as one document. One entry nested 200,000 deep ended each entry instance, a number too large or bytes that are no UTF-8 made the list unreadable, numbers were converted without a check of their range, a record under another name replaced the record of the sidecar it names, and one heartbeat of another service or from the future replaced the upstream's identity. A restarted sidecar could write the record of an earlier upstream over that of a later one. An exception that left a thread ended the process.

--- a/packages/connection/include/kumquatvalve/connection/identity_tracker.h
+++ b/packages/connection/include/kumquatvalve/connection/identity_tracker.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace kumquatvalve::connection {
 
@@ -27,13 +28,41 @@
   uint64_t sequence = 0;
 };
 
+/// What a sidecar does with a heartbeat.
+enum class HeartbeatVerdict {
+  /// It is the newest one of the newest upstream.
+  kAccepted,
+  /// It is older than one that arrived before, or its upstream has left.
+  kLate,
+  /// It names another service than the one that this sidecar serves.
+  kOtherService,
+  /// Its upstream would have started in the future.
+  kFromFuture,
+};
+
 /// Keeps the newest announced identity of a sidecar's upstream. Heartbeats may
 /// arrive late: after a newer one, or after another incarnation took over the
 /// address.
 class IdentityTracker {
  public:
-  /// @return whether the heartbeat is the newest; a late one is ignored.
-  bool OnHeartbeat(const UpstreamHeartbeat& heartbeat);
+  /// @param service the service of this sidecar; empty when any is accepted.
+  explicit IdentityTracker(std::string service = "")
+      : service_(std::move(service)) {}
+
+  /// Takes over the identity in a heartbeat that is accepted; any other one
+  /// changes nothing.
+  /// @param now_ms Unix time in milliseconds.
+  HeartbeatVerdict OnHeartbeat(const UpstreamHeartbeat& heartbeat,
+                               uint64_t now_ms);
+
+  /// A record of this sidecar was found in the store, written by an earlier
+  /// process. A heartbeat that was accepted before may be older than the
+  /// record: one that was delayed while a later upstream announced itself or
+  /// began to drain.
+  /// @param now_ms as for `OnHeartbeat`; a record from the future is ignored.
+  /// @return whether the current identity changed. It is empty when the record
+  ///   is of a later upstream, until that one sends a heartbeat.
+  bool OnStoredRecord(uint64_t incarnation_ms, bool draining, uint64_t now_ms);
 
   /// The upstream deregistered because it is about to exit. Its later
   /// heartbeats are ignored.
@@ -45,11 +74,16 @@
   const std::optional<UpstreamIdentity>& current() const { return current_; }
 
  private:
+  std::string service_;
   std::optional<UpstreamIdentity> current_;
-  uint64_t sequence_ = 0;
+  /// Of the newest upstream's last heartbeat; empty before the first.
+  std::optional<uint64_t> sequence_;
   /// Incarnation of the newest upstream whose heartbeat arrived.
   uint64_t newest_incarnation_ms_ = 0;
   bool deregistered_ = false;
+  /// The newest upstream was draining according to the store, and a drain is
+  /// never cancelled.
+  bool drain_stored_ = false;
 };
 
 }  // namespace kumquatvalve::connection
--- a/packages/connection/src/identity_tracker.cc
+++ b/packages/connection/src/identity_tracker.cc
@@ -1,22 +1,62 @@
 #include "kumquatvalve/connection/identity_tracker.h"
 
 namespace kumquatvalve::connection {
+namespace {
 
-bool IdentityTracker::OnHeartbeat(const UpstreamHeartbeat& heartbeat) {
+// Clocks of two machines differ by seconds, also while one is being adjusted.
+// An upstream from further ahead would keep out all later ones.
+constexpr uint64_t kMaxClockDifferenceMs = 60000;
+
+}  // namespace
+
+HeartbeatVerdict IdentityTracker::OnHeartbeat(
+    const UpstreamHeartbeat& heartbeat, uint64_t now_ms) {
   const UpstreamIdentity& identity = heartbeat.identity;
+  if (!service_.empty() && identity.service != service_) {
+    return HeartbeatVerdict::kOtherService;
+  }
+  if (identity.incarnation_ms > now_ms + kMaxClockDifferenceMs) {
+    return HeartbeatVerdict::kFromFuture;
+  }
   if (identity.incarnation_ms < newest_incarnation_ms_) {
-    return false;
+    return HeartbeatVerdict::kLate;
   }
   const bool same_incarnation =
       identity.incarnation_ms == newest_incarnation_ms_;
-  if (same_incarnation && (deregistered_ || heartbeat.sequence <= sequence_)) {
-    return false;
+  const bool after_last = !sequence_ || heartbeat.sequence > *sequence_;
+  if (same_incarnation && (deregistered_ || !after_last)) {
+    return HeartbeatVerdict::kLate;
   }
+  drain_stored_ = drain_stored_ && same_incarnation;
   newest_incarnation_ms_ = identity.incarnation_ms;
   sequence_ = heartbeat.sequence;
   deregistered_ = false;
   current_ = identity;
-  return true;
+  current_->draining = identity.draining || drain_stored_;
+  return HeartbeatVerdict::kAccepted;
+}
+
+bool IdentityTracker::OnStoredRecord(uint64_t incarnation_ms, bool draining,
+                                     uint64_t now_ms) {
+  if (incarnation_ms > now_ms + kMaxClockDifferenceMs ||
+      incarnation_ms < newest_incarnation_ms_) {
+    return false;
+  }
+  if (incarnation_ms > newest_incarnation_ms_) {
+    newest_incarnation_ms_ = incarnation_ms;
+    sequence_.reset();
+    deregistered_ = false;
+    drain_stored_ = draining;
+    const bool changed = current_.has_value();
+    current_.reset();
+    return changed;
+  }
+  drain_stored_ = drain_stored_ || draining;
+  if (current_ && drain_stored_ && !current_->draining) {
+    current_->draining = true;
+    return true;
+  }
+  return false;
 }
 
 bool IdentityTracker::OnDeparture(std::string_view instance,
--- a/packages/connection/test/identity_tracker_test.cc
+++ b/packages/connection/test/identity_tracker_test.cc
@@ -1,6 +1,7 @@
 #include "kumquatvalve/connection/identity_tracker.h"
 
 #include <catch2/catch.hpp>
+#include <string>
 
 namespace kumquatvalve::connection {
 namespace {
@@ -12,11 +13,18 @@
           sequence};
 }
 
+constexpr uint64_t kNowMs = 1000000;
+
+bool Accepts(IdentityTracker* tracker, const UpstreamHeartbeat& heartbeat) {
+  return tracker->OnHeartbeat(heartbeat, kNowMs) == HeartbeatVerdict::kAccepted;
+}
+
 TEST_CASE("identity_tracker: a late heartbeat does not cancel a drain") {
   IdentityTracker tracker;
-  CHECK(tracker.OnHeartbeat(Heartbeat(100, 1)));
-  CHECK(tracker.OnHeartbeat(Heartbeat(100, 3, true)));
-  CHECK_FALSE(tracker.OnHeartbeat(Heartbeat(100, 2)));
+  CHECK(Accepts(&tracker, Heartbeat(100, 1)));
+  CHECK(Accepts(&tracker, Heartbeat(100, 3, true)));
+  CHECK(tracker.OnHeartbeat(Heartbeat(100, 2), kNowMs) ==
+        HeartbeatVerdict::kLate);
   CHECK(tracker.current()->draining);
 }
 
@@ -24,8 +32,9 @@
     "identity_tracker: a heartbeat of an earlier incarnation does not replace "
     "the upstream that took over its address") {
   IdentityTracker tracker;
-  CHECK(tracker.OnHeartbeat(Heartbeat(200, 1)));
-  CHECK_FALSE(tracker.OnHeartbeat(Heartbeat(100, 9, true)));
+  CHECK(Accepts(&tracker, Heartbeat(200, 1)));
+  CHECK(tracker.OnHeartbeat(Heartbeat(100, 9, true), kNowMs) ==
+        HeartbeatVerdict::kLate);
   CHECK(tracker.current()->incarnation_ms == 200);
 }
 
@@ -33,8 +42,8 @@
     "identity_tracker: a new incarnation is accepted with a lower sequence "
     "number") {
   IdentityTracker tracker;
-  CHECK(tracker.OnHeartbeat(Heartbeat(100, 50)));
-  CHECK(tracker.OnHeartbeat(Heartbeat(200, 1)));
+  CHECK(Accepts(&tracker, Heartbeat(100, 50)));
+  CHECK(Accepts(&tracker, Heartbeat(200, 1)));
   CHECK(tracker.current()->incarnation_ms == 200);
 }
 
@@ -42,13 +51,64 @@
     "identity_tracker: only the current upstream can deregister, and its later "
     "heartbeats are ignored") {
   IdentityTracker tracker;
-  CHECK(tracker.OnHeartbeat(Heartbeat(200, 1)));
+  CHECK(Accepts(&tracker, Heartbeat(200, 1)));
   CHECK_FALSE(tracker.OnDeparture("i-100", 100));
   CHECK_FALSE(tracker.OnDeparture("i-200", 100));
   CHECK(tracker.OnDeparture("i-200", 200));
   CHECK_FALSE(tracker.current());
-  CHECK_FALSE(tracker.OnHeartbeat(Heartbeat(200, 2)));
-  CHECK(tracker.OnHeartbeat(Heartbeat(300, 1)));
+  CHECK(tracker.OnHeartbeat(Heartbeat(200, 2), kNowMs) ==
+        HeartbeatVerdict::kLate);
+  CHECK(Accepts(&tracker, Heartbeat(300, 1)));
+}
+
+// One heartbeat of another writer made the sidecar return every flow of its own
+// service until the upstream's next restart.
+TEST_CASE("identity_tracker: a heartbeat of another service is not accepted") {
+  IdentityTracker tracker("patio");
+  CHECK(Accepts(&tracker, Heartbeat(100, 1)));
+  UpstreamHeartbeat other = Heartbeat(200, 1);
+  other.identity.service = "evidencia";
+  CHECK(tracker.OnHeartbeat(other, kNowMs) == HeartbeatVerdict::kOtherService);
+  CHECK(tracker.current()->incarnation_ms == 100);
+}
+
+// An incarnation far ahead kept out every later upstream of the sidecar.
+TEST_CASE("identity_tracker: an upstream from the future is not accepted") {
+  IdentityTracker tracker;
+  CHECK(tracker.OnHeartbeat(Heartbeat(kNowMs + 60001, 1), kNowMs) ==
+        HeartbeatVerdict::kFromFuture);
+  CHECK_FALSE(tracker.OnStoredRecord(kNowMs + 60001, false, kNowMs));
+  // Clocks may differ by seconds.
+  CHECK(Accepts(&tracker, Heartbeat(kNowMs + 60000, 1)));
+}
+
+// After a restart the sidecar took a delayed heartbeat of an upstream that had
+// been replaced, and wrote its record over that of the successor.
+TEST_CASE(
+    "identity_tracker: a restarted sidecar does not go back to an earlier "
+    "upstream than the stored one") {
+  IdentityTracker tracker;
+  CHECK(Accepts(&tracker, Heartbeat(100, 7)));
+  CHECK(tracker.OnStoredRecord(200, false, kNowMs));
+  CHECK_FALSE(tracker.current());
+  CHECK(tracker.OnHeartbeat(Heartbeat(100, 8), kNowMs) ==
+        HeartbeatVerdict::kLate);
+  CHECK(Accepts(&tracker, Heartbeat(200, 0)));
+  CHECK_FALSE(tracker.OnStoredRecord(100, true, kNowMs));
+  CHECK_FALSE(tracker.current()->draining);
+}
+
+// A delayed heartbeat from before the drain put an upstream that was leaving
+// back in use after the sidecar restarted.
+TEST_CASE("identity_tracker: a stored drain is kept after a restart") {
+  IdentityTracker tracker;
+  CHECK(Accepts(&tracker, Heartbeat(100, 7)));
+  CHECK(tracker.OnStoredRecord(100, true, kNowMs));
+  CHECK(tracker.current()->draining);
+  CHECK(Accepts(&tracker, Heartbeat(100, 8)));
+  CHECK(tracker.current()->draining);
+  CHECK(Accepts(&tracker, Heartbeat(200, 1)));
+  CHECK_FALSE(tracker.current()->draining);
 }
 
 }  // namespace
--- a/packages/process/include/kumquatvalve/process/entry_knowledge.h
+++ b/packages/process/include/kumquatvalve/process/entry_knowledge.h
@@ -8,6 +8,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "kumquatvalve/connection/record_book.h"
@@ -37,6 +38,8 @@
     std::function<std::optional<version::UpstreamRecord>(
         const std::string& body, request::Failure* failure)>
         read_record;
+    /// Returns the store path of the record of a sidecar.
+    std::function<std::string(const request::Endpoint& sidecar)> record_path;
     /// Returns the object, with its store path, that holds a record.
     std::function<StoredObject(const version::UpstreamRecord& record)>
         write_record;
@@ -51,6 +54,9 @@
     std::function<void(std::vector<version::UpstreamRecord>,
                        TimePoint complete_at)>
         upstreams;
+    /// An object or a part of one was left out since it cannot be read; the
+    /// reason has been logged. May be empty.
+    std::function<void()> unreadable;
   };
 
   /// `logger` must outlive the object.
@@ -61,8 +67,9 @@
   /// current one stays in force.
   void OnConfiguration(const StoredObject& object);
 
-  /// Replaces the records with a full list from the store. Unreadable records
-  /// are logged and left out.
+  /// Replaces the records with a full list from the store. Records that cannot
+  /// be read, or that are stored under another sidecar's path, are logged once
+  /// for each of their versions and left out.
   void OnStoredRecords(const std::map<std::string, StoredObject>& objects,
                        TimePoint complete_at);
 
@@ -90,6 +97,18 @@
   }
 
  private:
+  // A stored record and the version that it was decoded from.
+  struct DecodedRecord {
+    request::TableVersion version;
+    /// Empty when the stored object is not a usable record.
+    std::optional<version::UpstreamRecord> record;
+  };
+
+  // Decodes a record that has to be stored at its sidecar's path.
+  std::optional<version::UpstreamRecord> ReadRecordAt(
+      const StoredObject& object, request::Failure* failure) const;
+  void LogUnreadable(std::string_view message, const std::string& path,
+                     const request::Failure& failure) const;
   void PublishRecords();
 
   Codec codec_;
@@ -101,6 +120,9 @@
   bool records_known_ = false;
   TimePoint complete_at_;
   connection::RecordBook records_;
+  /// The records of the last list, by path. A change of one object must not
+  /// cost the decoding of all others.
+  std::map<std::string, DecodedRecord> decoded_;
 };
 
 }  // namespace kumquatvalve::process
--- a/packages/process/include/kumquatvalve/process/entry_node.h
+++ b/packages/process/include/kumquatvalve/process/entry_node.h
@@ -7,12 +7,14 @@
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "kumquatvalve/connection/entry_router.h"
 #include "kumquatvalve/process/decision_log.h"
+#include "kumquatvalve/process/exception_guard.h"
 #include "kumquatvalve/process/node_metrics.h"
 #include "kumquatvalve/process/packet_format.h"
 #include "kumquatvalve/process/traffic_loop.h"
@@ -130,6 +132,8 @@
             Requests requests)
       : settings_(settings),
         output_(settings, logger, std::move(requests)),
+        guard_("traffic", logger,
+               [this] { output_.metrics().OnUnexpectedError(); }),
         router_({settings.availability_zone, kMaxFlows, RandomSeed(settings)},
                 &output_) {}
 
@@ -170,41 +174,10 @@
 
   /// Forwards packets. Returns after `Stop`, when callers' packets have ceased.
   void Run() {
-    auto last_caller_packet_at = Clock::now();
-    auto next_tick_at = last_caller_packet_at;
-    std::optional<Clock::time_point> stop_at;
-    while (true) {
-      const std::array<int, 2> handles = {output_.caller_socket().handle(),
-                                          output_.hop_socket().handle()};
-      const uint32_t readable = WaitReadable(handles, Router::kTick);
-      now_ = Clock::now();
-      output_.SetTime(now_);
-      ApplyPublishedUpdates();
-      const size_t n =
-          (readable & kHopsReadable) != 0 ? ReceiveHopMessages() : 0;
-      if ((readable & kCallersReadable) != 0 && ReceiveCallerPackets() != 0) {
-        last_caller_packet_at = now_;
-      }
-      if (now_ >= next_tick_at) {
-        next_tick_at = now_ + Router::kTick;
-        router_.OnTick(now_);
-        PublishGauges();
-      }
-      status_request_.Serve([this] { return StatusJson(); });
-      output_.Flush();
-      if (pause_detector_.CheckForPause(now_,
-                                        std::chrono::system_clock::now())) {
-        output_.Paused();
-      }
-      if (stopping_) {
-        stop_at = stop_at.value_or(now_ + settings_.stop_timeout - kExitMargin);
-        if (now_ >= *stop_at ||
-            (now_ - last_caller_packet_at >= kStopQuietPeriod && n == 0 &&
-             now_ >= *stop_at - settings_.stop_timeout + kExitMargin +
-                         kRouterFailoverTime)) {
-          return;
-        }
-      }
+    last_caller_packet_at_ = Clock::now();
+    next_tick_at_ = last_caller_packet_at_;
+    while (!stopped_) {
+      guard_.Run([this] { RunOnce(); });
     }
   }
 
@@ -242,6 +215,41 @@
     return request::ServiceTagOf(settings.instance.text()).value | 1;
   }
 
+  // Waits for packets and does all work that is due; sets `stopped_` when
+  // `Run` has to return.
+  void RunOnce() {
+    const std::array<int, 2> handles = {output_.caller_socket().handle(),
+                                        output_.hop_socket().handle()};
+    const uint32_t readable = WaitReadable(handles, Router::kTick);
+    now_ = Clock::now();
+    output_.SetTime(now_);
+    if (stopping_) {
+      stop_at_ = stop_at_.value_or(now_ + settings_.stop_timeout - kExitMargin);
+      stopped_ = now_ >= *stop_at_;
+    }
+    ApplyPublishedUpdates();
+    const size_t n = (readable & kHopsReadable) != 0 ? ReceiveHopMessages() : 0;
+    if ((readable & kCallersReadable) != 0 && ReceiveCallerPackets() != 0) {
+      last_caller_packet_at_ = now_;
+    }
+    if (now_ >= next_tick_at_) {
+      next_tick_at_ = now_ + Router::kTick;
+      router_.OnTick(now_);
+      PublishGauges();
+    }
+    status_request_.Serve([this] { return StatusJson(); });
+    output_.Flush();
+    if (pause_detector_.CheckForPause(now_, std::chrono::system_clock::now())) {
+      output_.Paused();
+    }
+    const bool routers_have_left =
+        stop_at_ && now_ - last_caller_packet_at_ >= kStopQuietPeriod &&
+        n == 0 &&
+        now_ >= *stop_at_ - settings_.stop_timeout + kExitMargin +
+                    kRouterFailoverTime;
+    stopped_ = stopped_ || routers_have_left;
+  }
+
   void PublishGauges() {
     output_.metrics().SetFlows(router_.flows());
     output_.metrics().SetUpstreams(router_.upstreams().views().size());
@@ -337,6 +345,12 @@
   std::atomic<bool> routes_current_{false};
   std::atomic<bool> stopping_{false};
   Clock::time_point now_;
+  Clock::time_point last_caller_packet_at_;
+  Clock::time_point next_tick_at_;
+  /// When `Run` returns at the latest; empty before `Stop`.
+  std::optional<Clock::time_point> stop_at_;
+  bool stopped_ = false;
+  ExceptionGuard guard_;
   Router router_;
 };
 
--- a/packages/process/include/kumquatvalve/process/http_listener.h
+++ b/packages/process/include/kumquatvalve/process/http_listener.h
@@ -3,7 +3,10 @@
 
 #include <httplib.h>
 
+#include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <string>
 #include <thread>
 
 #include "kumquatvalve/request/endpoint.h"
@@ -12,10 +15,15 @@
 namespace kumquatvalve::process {
 
 /// An HTTP server with one listening and one handler thread. Its requests -
-/// scrapes, probes, heartbeats - are rare and short.
+/// scrapes, probes, heartbeats - are rare and short. A request whose path is
+/// longer than `kMaxPathBytes` is answered with status 414, one whose handler
+/// throws an exception with 500.
 class HttpListener {
  public:
-  HttpListener();
+  /// @param on_exception receives the text of an exception that a handler
+  ///   threw, on the handler's thread; may be empty.
+  explicit HttpListener(
+      std::function<void(const std::string&)> on_exception = nullptr);
   ~HttpListener();
   HttpListener(const HttpListener&) = delete;
   HttpListener& operator=(const HttpListener&) = delete;
@@ -34,6 +42,10 @@
   /// The bound port, 0 before `Start`.
   uint16_t port() const { return port_; }
 
+  /// The library matches paths with regular expressions, which recurse for
+  /// each character.
+  static constexpr size_t kMaxPathBytes = 512;
+
  private:
   httplib::Server http_;
   std::thread thread_;
--- a/packages/process/include/kumquatvalve/process/log_event.h
+++ b/packages/process/include/kumquatvalve/process/log_event.h
@@ -18,6 +18,7 @@
   kSettingsReloaded = 1005,
   kReloadRefused = 1006,
   kProcessPaused = 1007,
+  kUnexpectedError = 1008,
   kTablesPublished = 1101,
   kDrainTimedOut = 1102,
   kFlowDecided = 1201,
--- a/packages/process/include/kumquatvalve/process/node_metrics.h
+++ b/packages/process/include/kumquatvalve/process/node_metrics.h
@@ -2,6 +2,7 @@
 #define KUMQUATVALVE_PROCESS_NODE_METRICS_H_
 
 #include <prometheus/collectable.h>
+#include <prometheus/counter.h>
 #include <prometheus/family.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
@@ -35,6 +36,12 @@
   void OnPlacement(std::chrono::microseconds expected_wait,
                    std::chrono::milliseconds report_age);
 
+  /// Counts an object of the store or of a peer, or a part of one, that was
+  /// left out since it cannot be read.
+  void OnUnreadable() { unreadable_->Increment(); }
+  /// Counts an exception that a thread or an HTTP handler caught.
+  void OnUnexpectedError() { unexpected_errors_->Increment(); }
+
   void SetFlows(size_t n) { flows_->Set(static_cast<double>(n)); }
   void SetInProgress(size_t n) { in_progress_->Set(static_cast<double>(n)); }
   void SetRouteRevision(uint64_t n) {
@@ -50,6 +57,8 @@
   prometheus::Family<prometheus::Histogram>* store_calls_;
   prometheus::Histogram* expected_wait_;
   prometheus::Histogram* report_age_;
+  prometheus::Counter* unreadable_;
+  prometheus::Counter* unexpected_errors_;
   prometheus::Gauge* flows_;
   prometheus::Gauge* in_progress_;
   prometheus::Gauge* route_revision_;
--- a/packages/process/include/kumquatvalve/process/peer_server.h
+++ b/packages/process/include/kumquatvalve/process/peer_server.h
@@ -23,6 +23,8 @@
     /// Returns false and sets `failure` when the record cannot be read.
     std::function<bool(const std::string& record, request::Failure* failure)>
         record;
+    /// A handler threw an exception with this text.
+    std::function<void(const std::string&)> failed;
   };
 
   explicit PeerServer(Handlers handlers);
--- a/packages/process/include/kumquatvalve/process/peer_snapshot.h
+++ b/packages/process/include/kumquatvalve/process/peer_snapshot.h
@@ -18,14 +18,16 @@
   std::optional<StoredObject> configuration;
   /// Upstream records, as they are stored.
   std::vector<StoredObject> records;
+  /// After decoding: why objects of the text were left out, one entry for each.
+  std::vector<request::Failure> skipped;
 };
 
 /// Serializes a snapshot as a JSON object.
 std::string EncodePeerSnapshot(const PeerSnapshot& snapshot);
 
-/// Parses the JSON of `EncodePeerSnapshot`.
-/// @return nothing and `kBadAnswer` when the text is malformed or lacks a
-///   field.
+/// Parses the JSON of `EncodePeerSnapshot`. An object that cannot be read is
+/// left out; it does not hide the others.
+/// @return nothing and `kBadAnswer` when the text is not a snapshot.
 std::optional<PeerSnapshot> DecodePeerSnapshot(std::string_view text,
                                                request::Failure* failure);
 
--- a/packages/process/include/kumquatvalve/process/record_keeper.h
+++ b/packages/process/include/kumquatvalve/process/record_keeper.h
@@ -29,6 +29,9 @@
     std::function<void(const std::string& body)> written;
     /// An attempt failed, other than by a conflict; it is retried with backoff.
     std::function<void(const request::Failure& reason)> failed;
+    /// The object was read before a write. The function may change the desired
+    /// state, which is then used instead. May be empty.
+    std::function<void(const std::string& body)> found;
   };
 
   /// `api` must outlive the keeper.
@@ -51,6 +54,13 @@
     wake_.notify_all();
   }
 
+  /// Leaves the object as it is until the next `SetDesired`.
+  void Release() {
+    const std::lock_guard lock(mutex_);
+    desired_.reset();
+    in_sync_ = true;
+  }
+
   /// Reads the object from the store and writes it again if it differs, for an
   /// object that another process or the store itself may have removed.
   void Verify() {
@@ -113,17 +123,31 @@
     backoff_.Reset();
     {
       const std::lock_guard lock(mutex_);
-      in_sync_ = *desired_ == body;
+      in_sync_ = !desired_ || *desired_ == body;
     }
     listener_.written(body.value_or("(removed)"));
   }
 
+  bool IsDesired(const std::optional<std::string>& body) const {
+    const std::lock_guard lock(mutex_);
+    return desired_ && *desired_ == body;
+  }
+
   // Makes one attempt. Fails with `kConflict` when the stored object was not
   // the expected one; the next attempt reads it first.
   bool TryWrite(const std::optional<std::string>& body,
                 request::Failure* failure) {
-    if (!stored_known_ && !ReadStored(body, failure)) {
-      return false;
+    if (!stored_known_) {
+      if (!ReadStored(failure)) {
+        return false;
+      }
+      if (stored_version_ && listener_.found) {
+        listener_.found(stored_body_);
+      }
+      if (!IsDesired(body)) {
+        *failure = {request::ResultCode::kConflict, "no longer desired"};
+        return false;
+      }
     }
     if (stored_version_ && body && stored_body_ == *body) {
       return true;
@@ -156,8 +180,7 @@
   }
 
   // Reads the stored object; a missing object is not a failure.
-  bool ReadStored(const std::optional<std::string>& /*body*/,
-                  request::Failure* failure) {
+  bool ReadStored(request::Failure* failure) {
     auto object = api_->Read(path_, failure);
     if (!object && failure->code != request::ResultCode::kNotFound) {
       return false;
--- a/packages/process/include/kumquatvalve/process/sidecar_node.h
+++ b/packages/process/include/kumquatvalve/process/sidecar_node.h
@@ -12,6 +12,7 @@
 
 #include "kumquatvalve/connection/upstream_gate.h"
 #include "kumquatvalve/process/decision_log.h"
+#include "kumquatvalve/process/exception_guard.h"
 #include "kumquatvalve/process/node_metrics.h"
 #include "kumquatvalve/process/packet_format.h"
 #include "kumquatvalve/process/traffic_loop.h"
@@ -122,6 +123,8 @@
       : settings_(settings),
         on_record_missing_(std::move(on_record_missing)),
         output_(settings, logger),
+        guard_("traffic", logger,
+               [this] { output_.metrics().OnUnexpectedError(); }),
         gate_(settings.upstream->service.text(), started_ms, &output_) {}
 
   /// Binds the sockets; to be called before `Run`.
@@ -145,48 +148,10 @@
 
   /// Forwards packets. Returns after `Stop`.
   void Run() {
-    auto next_tick_at = Clock::now();
-    auto next_record_check_at = next_tick_at + kEntryContactTimeout;
-    std::optional<Clock::time_point> stop_at;
-    while (true) {
-      const std::array<int, 2> handles = {output_.hop_socket().handle(),
-                                          output_.upstream_socket().handle()};
-      const uint32_t readable = WaitReadable(handles, Gate::kTick);
-      now_ = Clock::now();
-      output_.SetTime(now_);
-      ApplyPublishedUpdates();
-      if ((readable & kHopsReadable) != 0) {
-        ReceiveHopMessages();
-      }
-      if ((readable & kUpstreamReadable) != 0) {
-        ReceiveUpstreamPackets();
-      }
-      if (now_ >= next_tick_at) {
-        next_tick_at = now_ + Gate::kTick;
-        gate_.OnTick(now_);
-        output_.metrics().SetFlows(gate_.flows());
-        output_.metrics().SetInProgress(gate_.load().in_progress);
-      }
-      status_request_.Serve([this] { return StatusJson(); });
-      const bool no_entry_contact =
-          now_ - gate_.last_entry_message_at() > kEntryContactTimeout;
-      if (now_ >= next_record_check_at &&
-          (output_.TakeRecordMissing() || no_entry_contact)) {
-        next_record_check_at = now_ + kEntryContactTimeout;
-        on_record_missing_();
-      }
-      if (stopping_) {
-        if (!stop_at) {
-          stop_at = now_ + settings_.stop_timeout - kExitMargin;
-          gate_.StartDrain(now_);
-        }
-        const auto& load = gate_.load();
-        if (now_ >= *stop_at || (load.in_progress == 0 && load.opening == 0)) {
-          output_.Flush();
-          return;
-        }
-      }
-      output_.Flush();
+    next_tick_at_ = Clock::now();
+    next_record_check_at_ = next_tick_at_ + kEntryContactTimeout;
+    while (!stopped_) {
+      guard_.Run([this] { RunOnce(); });
     }
   }
 
@@ -211,6 +176,48 @@
   // Part of the stop timeout that is reserved for ending the process.
   static constexpr std::chrono::milliseconds kExitMargin{1500};
 
+  // Waits for packets and does all work that is due; sets `stopped_` when
+  // `Run` has to return.
+  void RunOnce() {
+    const std::array<int, 2> handles = {output_.hop_socket().handle(),
+                                        output_.upstream_socket().handle()};
+    const uint32_t readable = WaitReadable(handles, Gate::kTick);
+    now_ = Clock::now();
+    output_.SetTime(now_);
+    if (stopping_ && !stop_at_) {
+      stop_at_ = now_ + settings_.stop_timeout - kExitMargin;
+    }
+    stopped_ = stop_at_ && now_ >= *stop_at_;
+    ApplyPublishedUpdates();
+    if ((readable & kHopsReadable) != 0) {
+      ReceiveHopMessages();
+    }
+    if ((readable & kUpstreamReadable) != 0) {
+      ReceiveUpstreamPackets();
+    }
+    if (now_ >= next_tick_at_) {
+      next_tick_at_ = now_ + Gate::kTick;
+      gate_.OnTick(now_);
+      output_.metrics().SetFlows(gate_.flows());
+      output_.metrics().SetInProgress(gate_.load().in_progress);
+    }
+    status_request_.Serve([this] { return StatusJson(); });
+    const bool no_entry_contact =
+        now_ - gate_.last_entry_message_at() > kEntryContactTimeout;
+    if (now_ >= next_record_check_at_ &&
+        (output_.TakeRecordMissing() || no_entry_contact)) {
+      next_record_check_at_ = now_ + kEntryContactTimeout;
+      on_record_missing_();
+    }
+    if (stop_at_ && !std::exchange(drain_started_, true)) {
+      gate_.StartDrain(now_);
+    }
+    const auto& load = gate_.load();
+    stopped_ = stopped_ ||
+               (drain_started_ && load.in_progress == 0 && load.opening == 0);
+    output_.Flush();
+  }
+
   // Called by the traffic thread only.
   std::string StatusJson() const {
     const request::UpstreamLoad& load = gate_.load();
@@ -297,6 +304,13 @@
   Mailbox<std::optional<connection::UpstreamIdentity>> identity_;
   std::atomic<bool> stopping_{false};
   Clock::time_point now_;
+  Clock::time_point next_tick_at_;
+  Clock::time_point next_record_check_at_;
+  /// When `Run` returns at the latest; empty before `Stop`.
+  std::optional<Clock::time_point> stop_at_;
+  bool drain_started_ = false;
+  bool stopped_ = false;
+  ExceptionGuard guard_;
   Gate gate_;
 };
 
--- a/packages/process/include/kumquatvalve/process/status_server.h
+++ b/packages/process/include/kumquatvalve/process/status_server.h
@@ -25,6 +25,8 @@
     std::function<bool()> ready;
     /// Returns a JSON object.
     std::function<std::string()> status;
+    /// A handler threw an exception with this text.
+    std::function<void(const std::string&)> failed;
   };
 
   explicit StatusServer(Sources sources);
--- a/packages/process/src/announce_server.cc
+++ b/packages/process/src/announce_server.cc
@@ -8,45 +8,82 @@
 #include <string>
 #include <utility>
 
+#include "kumquatvalve/process/bounded_json.h"
 #include "kumquatvalve/process/http_listener.h"
 #include "kumquatvalve/version/settings_reader.h"
 
 namespace kumquatvalve::process {
 namespace {
 
-constexpr int64_t kMaxSlots = 65535;
-constexpr int64_t kMaxWeight = 1000;
+constexpr uint64_t kMaxSlots = 65535;
+constexpr uint64_t kMaxWeight = 1000;
+constexpr size_t kMaxTextBytes = 1024;
+constexpr JsonLimits kAnnouncementLimits{
+    .max_bytes = 65536, .max_depth = 4, .max_values = 1000};
+
+std::nullopt_t FailWrongType(std::string detail, request::Failure* failure) {
+  *failure = {request::ResultCode::kWrongType, std::move(detail)};
+  return std::nullopt;
+}
+
+// Reads an integer between 1 and `max`; `fallback` when it is missing.
+std::optional<uint64_t> ReadOptional(const nlohmann::json& root,
+                                     const char* key, uint64_t fallback,
+                                     uint64_t max, request::Failure* failure) {
+  const auto it = root.find(key);
+  if (it == root.end()) {
+    return fallback;
+  }
+  if (!it->is_number()) {
+    return FailWrongType(key, failure);
+  }
+  const auto value = ReadUnsigned(root, key, max);
+  if (!value || *value == 0) {
+    *failure = {request::ResultCode::kOutOfRange, key};
+    return std::nullopt;
+  }
+  return value;
+}
 
 }  // namespace
 
 std::optional<UpstreamAnnouncement> ParseAnnouncement(
     std::string_view text, request::Failure* failure) {
-  try {
-    const nlohmann::json root = nlohmann::json::parse(text);
-    const auto team = root.at("team").get<std::string>();
-    const auto service = root.at("service").get<std::string>();
-    const int64_t slots = root.value("slots", int64_t{1});
-    const int64_t weight = root.value("weight", int64_t{100});
-    if (!version::IsValidName(team) || !version::IsValidName(service)) {
-      *failure = {request::ResultCode::kBadName, "team or service"};
-      return std::nullopt;
+  const auto root = ParseBoundedJson(text, kAnnouncementLimits, failure);
+  if (!root) {
+    return FailWrongType(failure->detail, failure);
+  }
+  const auto team = ReadString(*root, "team", kMaxTextBytes);
+  const auto service = ReadString(*root, "service", kMaxTextBytes);
+  if (!team || !service) {
+    return FailWrongType("an announcement needs a team and a service", failure);
+  }
+  if (!version::IsValidName(*team) || !version::IsValidName(*service)) {
+    *failure = {request::ResultCode::kBadName, "team or service"};
+    return std::nullopt;
+  }
+  const auto slots = ReadOptional(*root, "slots", 1, kMaxSlots, failure);
+  const auto weight = ReadOptional(*root, "weight", 100, kMaxWeight, failure);
+  if (!slots || !weight) {
+    return std::nullopt;
+  }
+  UpstreamAnnouncement announcement;
+  announcement.team = request::TeamName(*team);
+  announcement.service = request::ServiceName(*service);
+  announcement.slots = static_cast<uint32_t>(*slots);
+  announcement.weight = static_cast<uint32_t>(*weight);
+  if (const auto labels = root->find("labels"); labels != root->end()) {
+    if (!labels->is_object()) {
+      return FailWrongType("labels", failure);
     }
-    if (slots < 1 || slots > kMaxSlots || weight < 1 || weight > kMaxWeight) {
-      *failure = {request::ResultCode::kOutOfRange, "slots or weight"};
-      return std::nullopt;
+    for (const auto& [key, value] : labels->items()) {
+      if (!value.is_string()) {
+        return FailWrongType("label " + key, failure);
+      }
+      announcement.labels[key] = value.get<std::string>();
     }
-    UpstreamAnnouncement announcement;
-    announcement.team = request::TeamName(team);
-    announcement.service = request::ServiceName(service);
-    announcement.slots = static_cast<uint32_t>(slots);
-    announcement.weight = static_cast<uint32_t>(weight);
-    announcement.labels =
-        root.value("labels", std::map<std::string, std::string>());
-    return announcement;
-  } catch (const nlohmann::json::exception& ex) {
-    *failure = {request::ResultCode::kWrongType, ex.what()};
-    return std::nullopt;
   }
+  return announcement;
 }
 
 // The HTTP handlers set the announcement on a thread of the listener;
--- a/packages/process/src/entry_knowledge.cc
+++ b/packages/process/src/entry_knowledge.cc
@@ -17,14 +17,12 @@
   request::Failure failure;
   auto map = codec_.read_configuration(object, &skipped, &failure);
   if (!map) {
-    logger_->Log(LogLevel::kError, LogEvent::kTableUnreadable,
-                 "cannot read the configuration",
-                 {{"reason", ToString(failure)}});
+    LogUnreadable("cannot read the configuration", object.path, failure);
     return;
   }
   if (!skipped.empty()) {
-    logger_->Log(LogLevel::kError, LogEvent::kTableUnreadable,
-                 "skipped unreadable routes", {{"reason", skipped}});
+    LogUnreadable("skipped unreadable parts of the configuration", object.path,
+                  {request::ResultCode::kWrongType, skipped});
   }
   logger_->Log(LogLevel::kInfo, LogEvent::kTablesPublished, "configuration",
                {{"version", std::to_string(map->version)},
@@ -38,17 +36,25 @@
     const std::map<std::string, StoredObject>& objects, TimePoint complete_at) {
   const std::lock_guard lock(mutex_);
   std::vector<version::UpstreamRecord> records;
+  std::map<std::string, DecodedRecord> decoded;
   for (const auto& [path, object] : objects) {
-    request::Failure failure;
-    auto record = codec_.read_record(object.body, &failure);
-    if (record) {
-      records.push_back(std::move(*record));
+    auto known = decoded_.extract(path);
+    if (known.empty() || known.mapped().version != object.version) {
+      request::Failure failure;
+      auto record = ReadRecordAt(object, &failure);
+      if (!record) {
+        LogUnreadable("cannot use an upstream record from the store", path,
+                      failure);
+      }
+      decoded.emplace(path, DecodedRecord{object.version, std::move(record)});
     } else {
-      logger_->Log(LogLevel::kWarning, LogEvent::kTableUnreadable,
-                   "cannot read an upstream record from the store",
-                   {{"path", path}, {"reason", ToString(failure)}});
+      decoded.insert(std::move(known));
+    }
+    if (const auto& record = decoded.find(path)->second.record) {
+      records.push_back(*record);
     }
   }
+  decoded_ = std::move(decoded);
   records_.OnStoreRecords(records, complete_at);
   complete_at_ = complete_at;
   PublishRecords();
@@ -77,15 +83,17 @@
   if (snapshot.configuration) {
     OnConfiguration(*snapshot.configuration);
   }
+  for (const request::Failure& it : snapshot.skipped) {
+    LogUnreadable("cannot read an object of a peer", "", it);
+  }
   const std::lock_guard lock(mutex_);
   bool changed = !records_known_ && !snapshot.records.empty();
   for (const StoredObject& it : snapshot.records) {
     request::Failure failure;
-    const auto record = codec_.read_record(it.body, &failure);
+    const auto record = ReadRecordAt(it, &failure);
     if (!record) {
-      logger_->Log(LogLevel::kWarning, LogEvent::kTableUnreadable,
-                   "cannot read an upstream record from a peer",
-                   {{"path", it.path}, {"reason", ToString(failure)}});
+      LogUnreadable("cannot use an upstream record from a peer", it.path,
+                    failure);
     } else if (records_.OnAnnouncedRecord(*record, now)) {
       logger_->Log(LogLevel::kInfo, LogEvent::kPeerTold,
                    "received an upstream record from a peer",
@@ -115,6 +123,28 @@
   return configuration_ && records_known_;
 }
 
+std::optional<version::UpstreamRecord> EntryKnowledge::ReadRecordAt(
+    const StoredObject& object, request::Failure* failure) const {
+  auto record = codec_.read_record(object.body, failure);
+  if (record && codec_.record_path(record->sidecar) != object.path) {
+    *failure = {
+        request::ResultCode::kBadPath,
+        "the record names sidecar " + request::ToString(record->sidecar)};
+    return std::nullopt;
+  }
+  return record;
+}
+
+void EntryKnowledge::LogUnreadable(std::string_view message,
+                                   const std::string& path,
+                                   const request::Failure& failure) const {
+  logger_->Log(LogLevel::kError, LogEvent::kTableUnreadable, message,
+               {{"path", path}, {"reason", ToString(failure)}});
+  if (outputs_.unreadable) {
+    outputs_.unreadable();
+  }
+}
+
 void EntryKnowledge::PublishRecords() {
   records_known_ = true;
   auto records = records_.Records();
--- a/packages/process/src/http_listener.cc
+++ b/packages/process/src/http_listener.cc
@@ -1,12 +1,48 @@
 #include "kumquatvalve/process/http_listener.h"
 
+#include <exception>
 #include <string>
+#include <utility>
 
 namespace kumquatvalve::process {
+namespace {
 
-HttpListener::HttpListener() {
+constexpr int kUriTooLong = 414;
+constexpr int kInternalError = 500;
+
+std::string Describe(const std::exception_ptr& error) {
+  try {
+    std::rethrow_exception(error);
+  } catch (const std::exception& ex) {
+    return ex.what();
+  } catch (...) {
+    return "an exception of an unknown type";
+  }
+}
+
+}  // namespace
+
+HttpListener::HttpListener(
+    std::function<void(const std::string&)> on_exception) {
   http_.new_task_queue = [] { return new httplib::ThreadPool(1); };
   http_.set_keep_alive_max_count(1);
+  http_.set_pre_routing_handler(
+      [](const httplib::Request& request, httplib::Response& response) {
+        if (request.path.size() <= kMaxPathBytes) {
+          return httplib::Server::HandlerResponse::Unhandled;
+        }
+        response.status = kUriTooLong;
+        return httplib::Server::HandlerResponse::Handled;
+      });
+  http_.set_exception_handler([on_exception = std::move(on_exception)](
+                                  const httplib::Request&,
+                                  httplib::Response& response,
+                                  const std::exception_ptr& error) {
+    response.status = kInternalError;
+    if (on_exception) {
+      on_exception(Describe(error));
+    }
+  });
 }
 
 HttpListener::~HttpListener() { Stop(); }
--- a/packages/process/src/log_event.cc
+++ b/packages/process/src/log_event.cc
@@ -18,6 +18,8 @@
       return "reload_refused";
     case LogEvent::kProcessPaused:
       return "process_paused";
+    case LogEvent::kUnexpectedError:
+      return "unexpected_error";
     case LogEvent::kTablesPublished:
       return "tables_published";
     case LogEvent::kDrainTimedOut:
--- a/packages/process/src/node_metrics.cc
+++ b/packages/process/src/node_metrics.cc
@@ -12,6 +12,15 @@
 const prometheus::Histogram::BucketBoundaries kLatencyBuckets = {
     0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1, 3};
 
+prometheus::Counter* AddCounter(prometheus::Registry* registry,
+                                const char* name, const char* help) {
+  return &prometheus::BuildCounter()
+              .Name(name)
+              .Help(help)
+              .Register(*registry)
+              .Add({});
+}
+
 prometheus::Gauge* AddGauge(prometheus::Registry* registry, const char* name,
                             const char* help) {
   return &prometheus::BuildGauge()
@@ -61,6 +70,11 @@
       report_age_(AddHistogram(&registry_,
                                "kumquatvalve_placement_report_age_seconds",
                                "Age of the load report of a placement.")),
+      unreadable_(AddCounter(&registry_, "kumquatvalve_unreadable_total",
+                             "Objects, or parts of one, that cannot be read.")),
+      unexpected_errors_(
+          AddCounter(&registry_, "kumquatvalve_unexpected_errors_total",
+                     "Exceptions that threads and HTTP handlers caught.")),
       flows_(AddGauge(&registry_, "kumquatvalve_flows",
                       "Flows that the process remembers.")),
       in_progress_(AddGauge(&registry_, "kumquatvalve_requests_in_progress",
--- a/packages/process/src/peer_server.cc
+++ b/packages/process/src/peer_server.cc
@@ -24,7 +24,8 @@
 
 class PeerServer::Server {
  public:
-  explicit Server(Handlers handlers) : handlers_(std::move(handlers)) {
+  explicit Server(Handlers handlers)
+      : handlers_(std::move(handlers)), listener_(handlers_.failed) {
     listener_.http().set_payload_max_length(kMaxRecordBytes);
     listener_.http().Get("/snapshot", [this](const httplib::Request& request,
                                              httplib::Response& response) {
--- a/packages/process/src/peer_snapshot.cc
+++ b/packages/process/src/peer_snapshot.cc
@@ -1,6 +1,9 @@
 #include "kumquatvalve/process/peer_snapshot.h"
 
 #include <nlohmann/json.hpp>
+#include <utility>
+
+#include "kumquatvalve/process/bounded_json.h"
 
 namespace kumquatvalve::process {
 namespace {
@@ -13,10 +16,30 @@
           {"body", object.body}};
 }
 
-StoredObject Decode(const Json& value) {
-  return {value.at("path").get<std::string>(),
-          {value.at("version").get<uint64_t>()},
-          value.at("body").get<std::string>()};
+// A configuration and 4,700 records with room to spare.
+constexpr size_t kMaxSnapshotBytes = size_t{8} << 20;
+constexpr JsonLimits kObjectLimits{
+    .max_bytes = size_t{4} << 20, .max_depth = 2, .max_values = 100};
+constexpr size_t kMaxPathBytes = 1024;
+
+std::nullopt_t FailBadAnswer(std::string detail, request::Failure* failure) {
+  *failure = {request::ResultCode::kBadAnswer, std::move(detail)};
+  return std::nullopt;
+}
+
+std::optional<StoredObject> Decode(std::string_view text,
+                                   request::Failure* failure) {
+  const auto value = ParseBoundedJson(text, kObjectLimits, failure);
+  if (!value) {
+    return std::nullopt;
+  }
+  auto path = ReadString(*value, "path", kMaxPathBytes);
+  const auto version = ReadUnsigned(*value, "version", UINT64_MAX);
+  auto body = ReadString(*value, "body", kObjectLimits.max_bytes);
+  if (!path || !version || !body) {
+    return FailBadAnswer("an object of a peer snapshot lacks a field", failure);
+  }
+  return StoredObject{std::move(*path), {*version}, std::move(*body)};
 }
 
 }  // namespace
@@ -29,25 +52,40 @@
   for (const StoredObject& it : snapshot.records) {
     value["records"].push_back(Encode(it));
   }
-  return value.dump();
+  // A configuration that could not be parsed may have bytes that are not UTF-8.
+  return value.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 std::optional<PeerSnapshot> DecodePeerSnapshot(std::string_view text,
                                                request::Failure* failure) {
-  try {
-    const Json value = Json::parse(text);
-    PeerSnapshot snapshot;
-    if (value.contains("configuration")) {
-      snapshot.configuration = Decode(value.at("configuration"));
+  if (text.size() > kMaxSnapshotBytes) {
+    return FailBadAnswer("a peer snapshot is too large", failure);
+  }
+  const auto members = SplitJsonObject(text, failure);
+  const auto records_text =
+      members ? FindMember(*members, "records") : std::nullopt;
+  const auto records =
+      records_text ? SplitJsonArray(*records_text, failure) : std::nullopt;
+  if (!records) {
+    return FailBadAnswer("a peer snapshot has no list of records", failure);
+  }
+  PeerSnapshot snapshot;
+  if (const auto it = FindMember(*members, "configuration")) {
+    request::Failure reason;
+    snapshot.configuration = Decode(*it, &reason);
+    if (!snapshot.configuration) {
+      snapshot.skipped.push_back(std::move(reason));
     }
-    for (const Json& it : value.at("records")) {
-      snapshot.records.push_back(Decode(it));
+  }
+  for (const std::string_view it : *records) {
+    request::Failure reason;
+    if (auto record = Decode(it, &reason)) {
+      snapshot.records.push_back(std::move(*record));
+    } else {
+      snapshot.skipped.push_back(std::move(reason));
     }
-    return snapshot;
-  } catch (const Json::exception& ex) {
-    *failure = {request::ResultCode::kBadAnswer, ex.what()};
-    return std::nullopt;
   }
+  return snapshot;
 }
 
 }  // namespace kumquatvalve::process
--- a/packages/process/src/status_server.cc
+++ b/packages/process/src/status_server.cc
@@ -11,7 +11,8 @@
 
 class StatusServer::Server {
  public:
-  explicit Server(Sources sources) : sources_(std::move(sources)) {
+  explicit Server(Sources sources)
+      : sources_(std::move(sources)), listener_(sources_.failed) {
     listener_.http().Get("/metrics", [this](const httplib::Request&,
                                             httplib::Response& response) {
       response.set_content(SerializeMetrics(sources_.metrics),
--- a/packages/process/test/entry_knowledge_test.cc
+++ b/packages/process/test/entry_knowledge_test.cc
@@ -1,6 +1,7 @@
 #include "kumquatvalve/process/entry_knowledge.h"
 
 #include <catch2/catch.hpp>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,10 @@
             }
             return Record(body);
           },
+          .record_path =
+              [](const request::Endpoint& sidecar) {
+                return "u/" + request::ToString(sidecar.address);
+              },
           .write_record =
               [](const version::UpstreamRecord& record) {
                 const std::string name =
@@ -57,13 +62,15 @@
 struct Fixture {
   std::vector<uint64_t> versions;
   std::vector<std::vector<version::UpstreamRecord>> upstreams;
+  int unreadable = 0;
   Logger logger{"test", LogFormat::kJson, LogLevel::kError};
   EntryKnowledge::TimePoint now{std::chrono::hours(1)};
   EntryKnowledge knowledge{
       TestCodec(),
       {.routes = [this](auto map) { versions.push_back(map->version); },
        .upstreams = [this](auto records,
-                           auto) { upstreams.push_back(records); }},
+                           auto) { upstreams.push_back(records); },
+       .unreadable = [this] { ++unreadable; }},
       &logger};
 };
 
@@ -152,9 +159,48 @@
 TEST_CASE("entry_knowledge: an unreadable record does not block the others") {
   Fixture f;
   f.knowledge.OnStoredRecords(
-      {{"u/1", {"u/1", {1}, "bad"}}, {"u/2", RecordObject("10.0.0.2")}}, f.now);
+      {{"u/1", {"u/1", {1}, "bad"}}, {"u/10.0.0.2", RecordObject("10.0.0.2")}},
+      f.now);
   REQUIRE(f.upstreams.size() == 1);
   CHECK(f.upstreams[0].size() == 1);
+  CHECK(f.unreadable == 1);
+}
+
+// Another writer's copy of a record under a path of its own replaced the record
+// of the sidecar that it names.
+TEST_CASE(
+    "entry_knowledge: a record under another sidecar's path is not used") {
+  Fixture f;
+  StoredObject copy = RecordObject("10.0.0.1");
+  copy.path = "u/10.0.0.9";
+  f.knowledge.OnStoredRecords(
+      {{"u/10.0.0.1", RecordObject("10.0.0.1")}, {"u/10.0.0.9", copy}}, f.now);
+  REQUIRE(f.upstreams.size() == 1);
+  CHECK(f.upstreams[0].size() == 1);
+  CHECK(f.unreadable == 1);
+  PeerSnapshot snapshot;
+  snapshot.records = {copy};
+  f.knowledge.OnPeerSnapshot(snapshot, f.now);
+  CHECK(f.unreadable == 2);
+}
+
+// Each change of one record decoded all others again, and logged an unreadable
+// one again.
+TEST_CASE("entry_knowledge: only changed records are decoded again") {
+  Fixture f;
+  std::map<std::string, StoredObject> objects = {
+      {"u/1", {"u/1", {1}, "bad"}}, {"u/10.0.0.2", RecordObject("10.0.0.2")}};
+  f.knowledge.OnStoredRecords(objects, f.now);
+  f.knowledge.OnStoredRecords(objects, f.now);
+  CHECK(f.unreadable == 1);
+  objects.at("u/1").version = {2};
+  f.knowledge.OnStoredRecords(objects, f.now);
+  CHECK(f.unreadable == 2);
+  REQUIRE(f.upstreams.size() == 3);
+  CHECK(f.upstreams[2].size() == 1);
+  objects.erase("u/10.0.0.2");
+  f.knowledge.OnStoredRecords(objects, f.now);
+  CHECK(f.upstreams[3].empty());
 }
 
 }  // namespace
--- a/packages/process/test/peer_client_test.cc
+++ b/packages/process/test/peer_client_test.cc
@@ -77,14 +77,35 @@
   CHECK(client.SendRecord("bad", &failure) == 0);
 }
 
-TEST_CASE("peer_snapshot: malformed JSON or a missing field is an error") {
-  for (const char* text : {"", "[]", "{}", R"({"records":[{"path":1}]})",
-                           R"({"records":[],"configuration":{}})"}) {
+TEST_CASE("peer_snapshot: text that is not a snapshot is an error") {
+  for (const char* text :
+       {"", "[]", "{}", R"({"records":7})", R"({"records":[{"path":"p"})"}) {
     Failure failure;
     CHECK_FALSE(DecodePeerSnapshot(text, &failure));
     CHECK(failure.code == ResultCode::kBadAnswer);
   }
 }
 
+// One record that a peer could not read made it ignore the whole snapshot.
+TEST_CASE("peer_snapshot: an unreadable object does not hide the others") {
+  const std::string good = R"({"path":"u/1","version":3,"body":"b"})";
+  for (const std::string& odd :
+       {std::string(R"({"path":1})"), std::string("7"), std::string("1e400"),
+        std::string(200000, '[') + std::string(200000, ']'),
+        std::string(R"({"path":"u/2","version":-1,"body":"b"})"),
+        std::string(R"({"path":"u/2","version":1e30,"body":"b"})"),
+        std::string("{\"path\":\"\xff\",\"version\":1,\"body\":\"b\"}")}) {
+    Failure failure;
+    const auto snapshot =
+        DecodePeerSnapshot("{\"configuration\":" + odd + ",\"records\":[" +
+                               good + "," + odd + "," + good + "]}",
+                           &failure);
+    REQUIRE(snapshot);
+    CHECK_FALSE(snapshot->configuration);
+    CHECK(snapshot->records.size() == 2);
+    CHECK(snapshot->skipped.size() == 2);
+  }
+}
+
 }  // namespace
 }  // namespace kumquatvalve::process
--- a/packages/process/test/record_keeper_test.cc
+++ b/packages/process/test/record_keeper_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <deque>
+#include <functional>
 #include <map>
 #include <string>
 #include <thread>
@@ -135,8 +136,16 @@
   RecordKeeper<FakeStore> keeper{
       &store,
       kPath,
-      {[](const std::string&) {}, [this](const Failure&) { ++failures; }},
+      {.written = [](const std::string&) {},
+       .failed = [this](const Failure&) { ++failures; },
+       .found =
+           [this](const std::string& body) {
+             if (on_found) {
+               on_found(body);
+             }
+           }},
       1};
+  std::function<void(const std::string&)> on_found;
 };
 
 TEST_CASE("record_keeper: the desired object is written once") {
@@ -185,6 +194,20 @@
   CHECK(f.store.objects.empty());
 }
 
+// A restarted sidecar wrote the record of an earlier upstream over that of a
+// later one, since it looked at the stored record only for its version.
+TEST_CASE("record_keeper: a stored object can change what is desired") {
+  Fixture f;
+  f.store.objects[kPath] = {kPath, TableVersion{3}, "later"};
+  f.on_found = [&f](const std::string& body) {
+    CHECK(body == "later");
+    f.keeper.Release();
+  };
+  f.RunUntilInSync("earlier");
+  CHECK(f.store.objects.at(kPath).body == "later");
+  CHECK(f.store.writes == 0);
+}
+
 // A sidecar that was wrongly presumed dead may have written a new record
 // meanwhile, which must stay.
 TEST_CASE("record_remover: only an unchanged record is removed") {
