--- a/packages/process/include/kumquatvalve/process/store_watcher.h
+++ b/packages/process/include/kumquatvalve/process/store_watcher.h
@@ -130,14 +130,23 @@
     if (!response) {
       return false;
     }
-    watch_since_ = response->version;
+    const request::TableVersion since = watch_since_;
+    // A response that is behind the last one must not bring objects back that
+    // were deleted since.
+    watch_since_ = std::max(since, response->version);
     if (response->snapshot) {
       objects_.clear();
     }
+    bool changed = response->snapshot;
     for (ObjectEvent& it : response->events) {
-      Apply(std::move(it));
+      const bool known =
+          !response->snapshot && !it.deleted && it.object.version <= since;
+      changed = changed || !known;
+      if (!known) {
+        Apply(std::move(it));
+      }
     }
-    if (response->snapshot || !response->events.empty()) {
+    if (changed) {
       listener_.changed(objects_, complete_at_);
       Wait(timing_.coalesce_interval);
     }
--- a/packages/process/test/store_watcher_test.cc
+++ b/packages/process/test/store_watcher_test.cc
@@ -115,6 +115,23 @@
   CHECK(f.seen.back().at("config/main").body == "new");
 }
 
+// A response that is behind the last one brought back an upstream that had
+// left.
+TEST_CASE("store_watcher: a late response does not restore a deleted object") {
+  Fixture f;
+  f.store.lists.push_back(ObjectList{{Object("u/1", 3, "a")}, {7}});
+  f.store.watches.push_back(
+      WatchAnswer{{{Object("u/2", 5, "left"), false}}, {6}, false});
+  f.store.watches.push_back(
+      WatchAnswer{{{Object("u/1", 3, ""), true}}, {8}, false});
+  f.watcher.Run();
+  CHECK(f.store.calls ==
+        std::vector<std::string>{"list", "watch 7", "watch 7", "watch 8"});
+  REQUIRE(f.seen.size() == 2);
+  CHECK(f.seen[0].size() == 1);
+  CHECK(f.seen[1].empty());
+}
+
 TEST_CASE("store_watcher: a snapshot after a dropped history replaces all") {
   Fixture f;
   f.store.lists.push_back(
--- a/packages/version/include/kumquatvalve/version/node_settings.h
+++ b/packages/version/include/kumquatvalve/version/node_settings.h
@@ -23,7 +23,7 @@
   request::Endpoint outbound;
   /// HTTP endpoint at which the sidecar receives the upstream's heartbeats.
   request::Endpoint announce;
-  /// Service of the upstream until a heartbeat names another one.
+  /// Service of the upstream. Heartbeats that name another one are rejected.
   request::ServiceName service;
 };
 
@@ -52,6 +52,9 @@
   std::string log_level = "info";
   /// Maximum time between a termination signal and the exit of the process.
   std::chrono::seconds stop_timeout{6};
+  /// A configuration must be in force this long after the store accepted it;
+  /// only for `Role::kEntry`.
+  std::chrono::milliseconds configuration_apply_limit{3000};
 };
 
 /// Reads and validates a settings file of a store-controlled process.
--- a/packages/version/src/node_settings.cc
+++ b/packages/version/src/node_settings.cc
@@ -53,6 +53,14 @@
      .type = Type::kUrl,
      .required = true,
      .doc = "Base address of the store."},
+    {.key = "configuration_apply_ms",
+     .type = Type::kInteger,
+     .default_text = "3000",
+     .min_value = 1000,
+     .max_value = 60000,
+     .only_for_role = "entry",
+     .doc = "Time in which a configuration must be in force after the store "
+            "accepted it, ms. Decides how often the store is asked."},
     {.key = "upstream.packets",
      .type = Type::kEndpoint,
      .required = true,
@@ -72,7 +80,7 @@
      .type = Type::kText,
      .required = true,
      .only_for_role = "sidecar",
-     .doc = "Service of the upstream until a heartbeat names another one."},
+     .doc = "Service of the upstream; heartbeats of another one are rejected."},
     {.key = "log_level",
      .type = Type::kChoice,
      .default_text = "info",
@@ -115,6 +123,8 @@
       std::chrono::seconds(reader->Integer("stop_timeout_s"));
   if (settings.role == Role::kEntry) {
     settings.hops = reader->Endpoint("hops");
+    settings.configuration_apply_limit =
+        std::chrono::milliseconds(reader->Integer("configuration_apply_ms"));
     if (reader->Has("peer_listen")) {
       settings.peer_listen = reader->Endpoint("peer_listen");
     }
--- a/packages/version/test/node_settings_test.cc
+++ b/packages/version/test/node_settings_test.cc
@@ -44,6 +44,7 @@
   CHECK(entry->role == Role::kEntry);
   CHECK(entry->hops.port == 7002);
   CHECK(entry->stop_timeout == std::chrono::seconds(6));
+  CHECK(entry->configuration_apply_limit == std::chrono::milliseconds(3000));
   const auto sidecar = ParseNodeSettings(kSidecar, "node.yaml", &errors);
   REQUIRE(sidecar);
   REQUIRE(sidecar->upstream);
@@ -51,6 +52,16 @@
   CHECK(sidecar->upstream->announce.port == 7007);
 }
 
+TEST_CASE("node_settings: the limit for applying a configuration is checked") {
+  std::vector<SettingsError> errors;
+  const auto entry = ParseNodeSettings(
+      kEntry + "configuration_apply_ms: 6000\n", "node.yaml", &errors);
+  REQUIRE(entry);
+  CHECK(entry->configuration_apply_limit == std::chrono::milliseconds(6000));
+  CHECK(ParseErrors(kEntry + "configuration_apply_ms: 10\n").front().code ==
+        ResultCode::kOutOfRange);
+}
+
 TEST_CASE("node_settings: peers are optional") {
   std::vector<SettingsError> errors;
   const auto alone = ParseNodeSettings(kEntry, "node.yaml", &errors);
