Spread new flows over upstreams that measure like their peers

Cause: placement compared means of the last twenty requests, which differ by chance, and all entry instances preferred the same upstreams; one without a measurement counted as 30 ms, so that a quarter of the upstreams of a service of 4 ms got nothing.

--- a/packages/connection/include/kumquatvalve/connection/placement.h
+++ b/packages/connection/include/kumquatvalve/connection/placement.h
@@ -9,8 +9,8 @@
 
 namespace kumquatvalve::connection {
 
-/// Assumed service time of an upstream until its first load report: the mean
-/// work of a short request.
+/// Assumed service time while no upstream of a service has measured one: the
+/// mean work of a short request.
 inline constexpr std::chrono::microseconds kDefaultServiceTime{30000};
 
 /// An upstream that a new flow may be placed at.
@@ -21,7 +21,8 @@
   /// its last load report.
   double in_progress = 0;
   double open_flows = 0;
-  /// Mean processing time of one request, without the wait for a slot.
+  /// Mean processing time of one request, without the wait for a slot; 0 when
+  /// it was not measured yet.
   std::chrono::microseconds service_time{0};
   bool same_zone = true;
 };
@@ -50,6 +51,8 @@
 /// first. The cost accounts for load peaks that fill one zone before the
 /// others, for upstreams that are several times slower than their peers, and
 /// for open flows that accumulate at the upstreams that have run longest.
+/// Upstreams without a measured service time count as the median of their
+/// peers, so that new ones get flows at once.
 /// @param random breaks ties, so that entry instances with the same load data
 ///   spread their flows.
 Placement ChooseUpstream(std::span<const PlacementCandidate> candidates,
--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -19,6 +19,7 @@
 #include "kumquatvalve/connection/gate_decision.h"
 #include "kumquatvalve/connection/identity_tracker.h"
 #include "kumquatvalve/connection/offer_decision.h"
+#include "kumquatvalve/connection/service_time_estimate.h"
 #include "kumquatvalve/connection/waiting_flows.h"
 #include "kumquatvalve/request/flow_key.h"
 #include "kumquatvalve/request/hop_message.h"
@@ -205,6 +206,7 @@
   void OnTick(TimePoint now) {
     CheckResponsiveness(now);
     AdmitWaiting(now);
+    RefreshServiceTime(now);
     load_.open_flows = static_cast<uint32_t>(CountOpenFlows());
     for (auto& [entry, state] : entries_) {
       if (state.report_due && now - state.last_report_at >= kReportInterval) {
@@ -262,8 +264,6 @@
   // How long a flow that the upstream rejected is known not to be held.
   static constexpr Milliseconds kNotHeldTtl{10000};
   static constexpr size_t kMaxNotHeldFlows = 20000;
-  // Weight of one request in the exponentially weighted mean service time.
-  static constexpr double kServiceTimeWeight = 0.05;
   // Weight of one flow in the exponentially weighted share of flows that sent a
   // request.
   static constexpr double kOpenedShareWeight = 0.05;
@@ -638,16 +638,16 @@
     const double queue_factor =
         std::max(1.0, flow->in_progress_at_start /
                           std::max(1.0, static_cast<double>(load_.slots)));
-    const double service_time = std::chrono::duration<double, std::micro>(
-                                    now - flow->request_started_at)
-                                    .count() /
-                                queue_factor;
-    const double mean =
-        load_.service_time_us == 0
-            ? service_time
-            : load_.service_time_us +
-                  (service_time - load_.service_time_us) * kServiceTimeWeight;
-    load_.service_time_us = static_cast<uint32_t>(std::max(1.0, mean));
+    service_time_.Add(
+        ServiceTimeEstimate::Microseconds(now - flow->request_started_at) /
+            queue_factor,
+        now);
+    RefreshServiceTime(now);
+  }
+
+  void RefreshServiceTime(TimePoint now) {
+    load_.service_time_us =
+        static_cast<uint32_t>(service_time_.Value(now).count());
   }
 
   // Stops counting the flow's request, or the one expected from it, as work.
@@ -734,6 +734,7 @@
   uint64_t started_ms_;
   S* sink_;
   request::UpstreamLoad load_;
+  ServiceTimeEstimate service_time_;
   /// This process has seen every flow of the upstream's current incarnation.
   bool saw_all_flows_ = false;
   absl::flat_hash_map<request::FlowKey, Flow, request::FlowKeyHash> flows_;
--- a/packages/connection/src/placement.cc
+++ b/packages/connection/src/placement.cc
@@ -24,9 +24,18 @@
 // one service do the same work.
 constexpr double kMinShareOfMedian = 0.5;
 
+// Measured means of equal upstreams differ by up to this factor from the median
+// by chance, since they follow the last 20 requests. Within it all count as
+// equal: otherwise every entry instance prefers the same few upstreams.
+constexpr double kNoiseFactor = 1.6;
+
+// An upstream that seems faster than its peers has an advantage only where
+// requests wait: while several are idle, all of them get flows.
 Microseconds PlacementCost(const PlacementCandidate& candidate,
-                           const PlacementSettings& settings) {
-  const Microseconds service = candidate.service_time;
+                           const PlacementSettings& settings,
+                           Microseconds median) {
+  const Microseconds service =
+      std::max<Microseconds>(candidate.service_time, median);
   Microseconds cost = service + ExpectedWait(candidate);
   cost += service * (kBusySlotCost * candidate.in_progress / candidate.slots);
   cost += kOpenFlowCost * (candidate.open_flows / candidate.slots);
@@ -36,17 +45,32 @@
   return cost;
 }
 
-// The lower bound that is applied to all service times.
-Microseconds MinServiceTime(std::span<const PlacementCandidate> candidates) {
+// The median of the measured service times, the default when there are none.
+Microseconds MedianServiceTime(std::span<const PlacementCandidate> candidates) {
   std::vector<Microseconds> times;
   times.reserve(candidates.size());
   for (const PlacementCandidate& it : candidates) {
-    times.emplace_back(it.service_time);
+    if (it.service_time.count() != 0) {
+      times.emplace_back(it.service_time);
+    }
+  }
+  if (times.empty()) {
+    return kDefaultServiceTime;
   }
   const auto middle =
       times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
   std::nth_element(times.begin(), middle, times.end());
-  return *middle * kMinShareOfMedian;
+  return *middle;
+}
+
+// The service time to expect of an upstream, given what was measured there and
+// the median of its peers.
+Microseconds ExpectedServiceTime(Microseconds measured, Microseconds median) {
+  const bool unknown = measured.count() == 0;
+  const bool like_peers =
+      measured < median * kNoiseFactor && measured > median / kNoiseFactor;
+  return unknown || like_peers ? median
+                               : std::max(measured, median * kMinShareOfMedian);
 }
 
 // Mixes the bits of `value` (the finalizer of SplitMix64).
@@ -71,16 +95,16 @@
   if (candidates.empty()) {
     return placement;
   }
-  const auto min_service_time =
-      std::chrono::duration_cast<std::chrono::microseconds>(
-          MinServiceTime(candidates));
+  const Microseconds median = MedianServiceTime(candidates);
   size_t best = 0;
   Microseconds best_cost = Microseconds::max();
   uint64_t best_tie = 0;
   for (size_t i = 0; i < candidates.size(); ++i) {
     PlacementCandidate candidate = candidates[i];
-    candidate.service_time = std::max(candidate.service_time, min_service_time);
-    const Microseconds cost = PlacementCost(candidate, settings);
+    candidate.service_time =
+        std::chrono::duration_cast<std::chrono::microseconds>(
+            ExpectedServiceTime(candidate.service_time, median));
+    const Microseconds cost = PlacementCost(candidate, settings, median);
     const uint64_t tie = MixBits(random + i);
     if (cost < best_cost || (cost == best_cost && tie < best_tie)) {
       best = i;
--- a/packages/connection/src/upstream_view.cc
+++ b/packages/connection/src/upstream_view.cc
@@ -169,9 +169,7 @@
   candidate.in_progress = static_cast<double>(load_.in_progress) +
                           load_.opening + placed_since_report_;
   candidate.open_flows = load_.open_flows + placed_since_report_;
-  candidate.service_time = load_.service_time_us != 0
-                               ? microseconds(load_.service_time_us)
-                               : kDefaultServiceTime;
+  candidate.service_time = microseconds(load_.service_time_us);
   candidate.same_zone = same_zone_;
   return candidate;
 }
--- a/packages/connection/test/placement_test.cc
+++ b/packages/connection/test/placement_test.cc
@@ -73,6 +73,22 @@
             .chosen == 0);
 }
 
+// Upstreams that had served nothing were taken for slower than their peers of
+// 4 ms, and 11 of 41 got no request during a whole day.
+TEST_CASE("placement: an upstream without a measurement gets flows") {
+  std::vector<PlacementCandidate> candidates(
+      8, Candidate(0, true, milliseconds(4)));
+  candidates[5].service_time = microseconds(0);
+  std::vector<int> chosen(candidates.size());
+  for (uint64_t i = 0; i < 8000; ++i) {
+    ++chosen[*ChooseUpstream(candidates, kSettings, i * 7919).chosen];
+  }
+  CHECK(chosen[5] > 800);
+  // Nothing is known about any of them.
+  candidates.assign(2, Candidate(0, true, milliseconds(0)));
+  CHECK(ChooseUpstream(candidates, kSettings, 1).chosen);
+}
+
 TEST_CASE("placement: flows are spread over upstreams of equal cost") {
   const std::vector<PlacementCandidate> candidates(4, Candidate(0));
   std::vector<int> chosen(candidates.size());
