Ask the peers before a new instance takes a flow for lost

Change: until it has asked another entry instance once, an instance resets no flow that no sidecar holds; it asks when the first such flow appears.

--- a/packages/connection/include/kumquatvalve/connection/entry_decision.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_decision.h
@@ -86,6 +86,9 @@
   // Starts to read the upstream records from the store; the result arrives
   // through `OnUpstreamRecords`.
   sink.RefreshRecords();
+  // Asks other entry instances for records that the store may have lost;
+  // `SetPeersAsked` is called with the result.
+  sink.AskPeers();
   // Removes the record of an upstream on a dead machine from the store.
   sink.RemoveRecord(record);
   sink.RecordDecision(decision);
--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -74,6 +74,11 @@
   /// true.
   void SetRoutesCurrent(bool current) { routes_current_ = current; }
 
+  /// Sets whether the other entry instances have been asked for records that
+  /// the store may have lost before this process started. Until then no flow is
+  /// taken for lost. Initially true.
+  void SetPeersAsked(bool asked) { locator_.SetPeersAsked(asked); }
+
   /// Replaces the upstream records.
   /// @param complete_at the records include every change that the store had
   ///   accepted by this time.
@@ -214,6 +219,7 @@
       return router_->sink_->Parse(packet);
     }
     void RefreshRecords() { router_->sink_->RefreshRecords(); }
+    void AskPeers() { router_->sink_->AskPeers(); }
     void RecordDecision(const EntryDecision& decision) {
       router_->RecordVerdict(decision.verdict, decision.flow,
                              router_->routes_->Find(decision.flow.service),
--- a/packages/connection/include/kumquatvalve/connection/flow_locator.h
+++ b/packages/connection/include/kumquatvalve/connection/flow_locator.h
@@ -47,6 +47,9 @@
   // Starts to read the upstream records from the store; `OnRecords` is called
   // with the result.
   host.RefreshRecords();
+  // Starts to ask other entry instances for their records; `SetPeersAsked` is
+  // called with the result.
+  host.AskPeers();
   host.RecordDecision(decision);
 };
 
@@ -136,6 +139,11 @@
     ContinueSearches(now);
   }
 
+  /// Sets whether the other entry instances have been asked for their records
+  /// since this process started, or need not be asked. Until then no flow is
+  /// taken for lost. Initially true.
+  void SetPeersAsked(bool asked) { peers_asked_ = asked; }
+
   /// Runs timeouts and sends due queries.
   void OnTick(TimePoint now) {
     FinishRoundIfOver(now);
@@ -383,6 +391,10 @@
       RequestRecords(now);
       return;
     }
+    if (!peers_asked_) {
+      host_->AskPeers();
+      return;
+    }
     if (lost_flows_.size() < kMaxLostFlows) {
       lost_flows_[it->first] = now;
     }
@@ -441,6 +453,7 @@
       lost_flows_;
   /// The records include every change that the store had accepted by this time.
   TimePoint records_complete_at_;
+  bool peers_asked_ = true;
   bool refresh_pending_ = false;
   TimePoint next_refresh_at_;
   TimePoint next_check_at_;
--- a/packages/connection/include/kumquatvalve/connection/record_book.h
+++ b/packages/connection/include/kumquatvalve/connection/record_book.h
@@ -21,7 +21,7 @@
   /// @param complete_at the records include every change that the store had
   ///   accepted by this time.
   void OnStoreRecords(std::span<const version::UpstreamRecord> records,
-                      TimePoint complete_at);
+                      TimePoint complete_at, TimePoint now);
 
   /// Adds a record that a sidecar or a peer announced.
   /// @return whether it changes the merged records.
@@ -30,6 +30,11 @@
   /// The merged records, one for each sidecar.
   std::vector<version::UpstreamRecord> Records() const;
 
+  /// Records that the store had until at most `kStoreWriteTimeout` ago and that
+  /// announced no drain. The store may have lost them, while their upstreams
+  /// still hold flows: an instance that starts now has to know them.
+  std::vector<version::UpstreamRecord> RecentlyRemoved(TimePoint now) const;
+
  private:
   struct Announced {
     version::UpstreamRecord record;
@@ -42,6 +47,9 @@
 
   std::map<request::Endpoint, version::UpstreamRecord> stored_;
   std::map<request::Endpoint, Announced> announced_;
+  /// Records that the last lists of the store lacked; `received_at` is the time
+  /// of the first such list.
+  std::map<request::Endpoint, Announced> removed_;
 };
 
 }  // namespace kumquatvalve::connection
--- a/packages/connection/src/record_book.cc
+++ b/packages/connection/src/record_book.cc
@@ -1,5 +1,7 @@
 #include "kumquatvalve/connection/record_book.h"
 
+#include <utility>
+
 namespace kumquatvalve::connection {
 namespace {
 
@@ -16,20 +18,42 @@
 }  // namespace
 
 void RecordBook::OnStoreRecords(
-    std::span<const version::UpstreamRecord> records, TimePoint complete_at) {
-  stored_.clear();
+    std::span<const version::UpstreamRecord> records, TimePoint complete_at,
+    TimePoint now) {
+  const auto previous = std::exchange(stored_, {});
   for (const version::UpstreamRecord& it : records) {
     stored_.insert_or_assign(it.sidecar, it);
   }
+  for (const auto& [sidecar, record] : previous) {
+    if (!stored_.contains(sidecar) && !record.draining) {
+      removed_.insert_or_assign(sidecar, Announced{record, now});
+    }
+  }
+  std::erase_if(removed_, [&](const auto& it) {
+    return stored_.contains(it.first) ||
+           now - it.second.received_at > kStoreWriteTimeout;
+  });
   std::erase_if(announced_, [&](const auto& it) {
     const auto stored = stored_.find(it.first);
-    if (stored != stored_.end()) {
-      return !Supersedes(it.second.record, stored->second);
-    }
-    return complete_at - it.second.received_at > kStoreWriteTimeout;
+    const bool superseded = stored != stored_.end() &&
+                            !Supersedes(it.second.record, stored->second);
+    return superseded ||
+           complete_at - it.second.received_at > kStoreWriteTimeout;
   });
 }
 
+std::vector<version::UpstreamRecord> RecordBook::RecentlyRemoved(
+    TimePoint now) const {
+  std::vector<version::UpstreamRecord> records;
+  for (const auto& [sidecar, removed] : removed_) {
+    if (now - removed.received_at <= kStoreWriteTimeout &&
+        !announced_.contains(sidecar)) {
+      records.push_back(removed.record);
+    }
+  }
+  return records;
+}
+
 bool RecordBook::OnAnnouncedRecord(const version::UpstreamRecord& record,
                                    TimePoint now) {
   const auto stored = stored_.find(record.sidecar);
--- a/packages/connection/test/entry_router_test.cc
+++ b/packages/connection/test/entry_router_test.cc
@@ -44,6 +44,7 @@
     return packets.at(static_cast<size_t>(packet.front()));
   }
   void RefreshRecords() { ++record_reads; }
+  void AskPeers() { ++peer_queries; }
   void RemoveRecord(const version::UpstreamRecord& record) {
     removed.push_back(record.sidecar);
   }
@@ -63,6 +64,7 @@
   std::vector<request::ParsedPacket> packets;
   std::vector<EntryVerdict> verdicts;
   int record_reads = 0;
+  int peer_queries = 0;
   std::vector<request::Endpoint> removed;
 };
 
@@ -302,6 +304,41 @@
   }
 }
 
+// A restarted entry instance reset a flow whose upstream's record the store had
+// just lost (soak seed 420).
+TEST_CASE(
+    "entry_router: an instance that has just started asks its peers before it "
+    "takes a flow for lost") {
+  Fixture f;
+  f.router.SetPeersAsked(false);
+  f.now += milliseconds(1);
+  SearchWithoutHolder(&f);
+  f.router.OnUpstreamRecords(f.records, f.now, f.now);
+  CHECK(f.sink.resets.empty());
+  CHECK(f.sink.peer_queries >= 1);
+  // A peer knows one more upstream, which holds the flow.
+  f.records.push_back(Record(4, "a"));
+  f.router.SetPeersAsked(true);
+  f.router.OnUpstreamRecords(f.records, f.now, f.now);
+  CHECK(f.sink.resets.empty());
+  f.ReceiveMessage(4, HopKind::kHeld, 1);
+  CHECK(f.sink.resets.empty());
+  CHECK(f.sink.SentOfKind(HopKind::kPacket).back().to ==
+        MakeEndpoint("10.0.0.4:8172"));
+}
+
+TEST_CASE("entry_router: a flow is lost when the peers know no holder either") {
+  Fixture f;
+  f.router.SetPeersAsked(false);
+  f.now += milliseconds(1);
+  SearchWithoutHolder(&f);
+  f.router.OnUpstreamRecords(f.records, f.now, f.now);
+  f.router.SetPeersAsked(true);
+  f.now += milliseconds(200);
+  f.router.OnTick(f.now);
+  CHECK(f.sink.resets.size() == 1);
+}
+
 // Guards against missing or late resets after all upstreams restarted at once:
 // callers waited for their full timeout, or got the reset only at their second
 // packet after the restart.
--- a/packages/process/include/kumquatvalve/process/entry_knowledge.h
+++ b/packages/process/include/kumquatvalve/process/entry_knowledge.h
@@ -71,7 +71,7 @@
   /// be read, or that are stored under another sidecar's path, are logged once
   /// for each of their versions and left out.
   void OnStoredRecords(const std::map<std::string, StoredObject>& objects,
-                       TimePoint complete_at);
+                       TimePoint complete_at, TimePoint now);
 
   /// Adds a record that a sidecar announced because it cannot write it to the
   /// store.
@@ -82,8 +82,9 @@
   /// Merges the configuration and records of another entry instance.
   void OnPeerSnapshot(const PeerSnapshot& snapshot, TimePoint now);
 
-  /// Returns the known configuration and records, to be sent to a peer.
-  PeerSnapshot Snapshot() const;
+  /// Returns the known configuration and records, to be sent to a peer, also
+  /// records that the store may have lost a moment ago.
+  PeerSnapshot Snapshot(TimePoint now) const;
 
   /// Whether both a configuration and a list of upstreams have been received.
   bool IsComplete() const;
--- a/packages/process/include/kumquatvalve/process/entry_node.h
+++ b/packages/process/include/kumquatvalve/process/entry_node.h
@@ -37,6 +37,9 @@
     std::function<void()> on_pause;
     /// Lists the upstream records in the store again at once.
     std::function<void()> refresh_records;
+    /// Asks the other entry instances for their records, once; the answer is
+    /// `PublishPeersAsked`.
+    std::function<void()> ask_peers;
     /// Removes the record of a sidecar whose machine is presumed dead.
     std::function<void(const version::UpstreamRecord&)> remove_record;
   };
@@ -85,6 +88,7 @@
     return F::Parse(packet, &failure);
   }
   void RefreshRecords() { requests_.refresh_records(); }
+  void AskPeers() { requests_.ask_peers(); }
   void RemoveRecord(const version::UpstreamRecord& record) {
     requests_.remove_record(record);
   }
@@ -161,6 +165,11 @@
   void PublishStoreState(bool answers) { store_answers_ = answers; }
   bool store_answers() const { return store_answers_; }
 
+  /// Sets whether the other entry instances have been asked for their records;
+  /// see `EntryRouter::SetPeersAsked`. To be called after the records that they
+  /// sent were published.
+  void PublishPeersAsked(bool asked) { peers_asked_ = asked; }
+
   /// Sets whether the published routes are known to be the newest in the store.
   void PublishRoutesState(bool current) { routes_current_ = current; }
 
@@ -290,6 +299,7 @@
 
   void ApplyPublishedUpdates() {
     router_.SetRoutesCurrent(routes_current_);
+    router_.SetPeersAsked(peers_asked_);
     if (auto routes = routes_.Take()) {
       router_.OnRoutes(std::move(*routes));
     }
@@ -343,6 +353,7 @@
   std::atomic<bool> has_upstreams_{false};
   std::atomic<bool> store_answers_{true};
   std::atomic<bool> routes_current_{false};
+  std::atomic<bool> peers_asked_{true};
   std::atomic<bool> stopping_{false};
   Clock::time_point now_;
   Clock::time_point last_caller_packet_at_;
--- a/packages/process/include/kumquatvalve/process/peer_client.h
+++ b/packages/process/include/kumquatvalve/process/peer_client.h
@@ -20,6 +20,7 @@
   explicit PeerClient(std::vector<request::Endpoint> peers);
 
   bool empty() const { return peers_.empty(); }
+  size_t size() const { return peers_.size(); }
 
   /// Fetches the snapshot of the next peer, round robin.
   /// @return nothing and `kOk` when the snapshot has not changed since it was
--- a/packages/process/src/entry_knowledge.cc
+++ b/packages/process/src/entry_knowledge.cc
@@ -33,7 +33,8 @@
 }
 
 void EntryKnowledge::OnStoredRecords(
-    const std::map<std::string, StoredObject>& objects, TimePoint complete_at) {
+    const std::map<std::string, StoredObject>& objects, TimePoint complete_at,
+    TimePoint now) {
   const std::lock_guard lock(mutex_);
   std::vector<version::UpstreamRecord> records;
   std::map<std::string, DecodedRecord> decoded;
@@ -55,7 +56,7 @@
     }
   }
   decoded_ = std::move(decoded);
-  records_.OnStoreRecords(records, complete_at);
+  records_.OnStoreRecords(records, complete_at, now);
   complete_at_ = complete_at;
   PublishRecords();
 }
@@ -106,7 +107,7 @@
   }
 }
 
-PeerSnapshot EntryKnowledge::Snapshot() const {
+PeerSnapshot EntryKnowledge::Snapshot(TimePoint now) const {
   const std::lock_guard lock(mutex_);
   PeerSnapshot snapshot;
   snapshot.configuration = configuration_;
@@ -114,6 +115,9 @@
     for (const version::UpstreamRecord& it : records_.Records()) {
       snapshot.records.push_back(codec_.write_record(it));
     }
+    for (const version::UpstreamRecord& it : records_.RecentlyRemoved(now)) {
+      snapshot.records.push_back(codec_.write_record(it));
+    }
   }
   return snapshot;
 }
