Keep an earlier flow of a port out of the next one

Cause: a caller may open a flow from a port it used a moment ago while the upstream, a sidecar or a search still has the earlier one. A late copy of a response reached the new flow, its FIN marked the new flow as ended (the table then dropped it after 4 s and the caller was reset); a late reply of a search replaced the new flow's holder; a flow that had been lost got the new flow reset; a returned first packet of the earlier flow was offered again. Late replies also added flows beyond the table's limit. A stopped sidecar ended as soon as a response had begun.

Change: a sidecar drops packets of the upstream that acknowledge bytes far from those delivered (verdict earlier_flow); a new flow ends searches and marks of the key; replies without a search are ignored; a returned packet must have the flow's sequence number; a stopping sidecar waits until the upstream has sent nothing for 60 ms.

Result: the new cases of entry_router_test and upstream_gate_test fail without it.

--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -332,20 +332,27 @@
 
   void OnNewFlow(const request::ParsedPacket& packet,
                  const version::Route& route, TimePoint now) {
-    if (flows_.size() >= config_.max_flows) {
-      ExpireFlows(now);
-      if (flows_.size() >= config_.max_flows) {
-        // The holder of an evicted flow is found again by queries to the
-        // sidecars when the flow's next packet arrives.
-        flows_.erase(flows_.begin());
-      }
-    }
+    MakeRoomForFlow(now);
+    // What is known of an earlier flow from the same port does not hold for
+    // this one.
+    locator_.Forget(packet.flow);
     Flow flow;
     flow.caller_isn = packet.sequence;
     flow.last_packet_at = now;
     Offer(flow, packet, route, EntryVerdict::kPlaced, now);
   }
 
+  // Evicts a flow when the table is full. The holder of an evicted flow is
+  // found again by queries to the sidecars when the flow's next packet arrives.
+  void MakeRoomForFlow(TimePoint now) {
+    if (flows_.size() >= config_.max_flows) {
+      ExpireFlows(now);
+    }
+    if (flows_.size() >= config_.max_flows) {
+      flows_.erase(flows_.begin());
+    }
+  }
+
   // Sends a first packet to the best upstream that is not excluded. Refuses the
   // flow when there is none or after `kMaxOffers`.
   void Offer(Flow flow, const request::ParsedPacket& packet,
@@ -485,7 +492,8 @@
     const auto it = flows_.find(packet->flow);
     const version::Route* route = routes_->Find(packet->flow.service);
     if (it == flows_.end() || route == nullptr || it->second.holder != from ||
-        it->second.open || !packet->IsFirst()) {
+        it->second.open || !packet->IsFirst() ||
+        packet->sequence != it->second.caller_isn) {
       return;
     }
     Flow flow = it->second;
@@ -516,15 +524,20 @@
 
   void OnHeld(const request::Endpoint& from, const request::FlowKey& key,
               TimePoint now) {
+    // Without a search the reply is late: the flow was found meanwhile, or its
+    // caller has opened another one from the same port.
+    const auto search = locator_.TakeSearch(key);
+    if (!search) {
+      return;
+    }
+    if (!flows_.contains(key)) {
+      MakeRoomForFlow(now);
+    }
     Flow& flow = flows_[key];
     flow.holder = from;
     flow.open = true;
     flow.duplicate_offer = false;
     flow.last_packet_at = now;
-    const auto search = locator_.TakeSearch(key);
-    if (!search) {
-      return;
-    }
     for (size_t i = 0; i < search->packets().size(); ++i) {
       // The probe has already delivered the first kept packet to this sidecar.
       const bool already_sent = search->probed() && i == 0;
--- a/packages/connection/include/kumquatvalve/connection/flow_locator.h
+++ b/packages/connection/include/kumquatvalve/connection/flow_locator.h
@@ -97,6 +97,12 @@
     return search;
   }
 
+  /// A new flow has the key: drops what is known of an earlier one.
+  void Forget(const request::FlowKey& key) {
+    searches_.erase(key);
+    lost_flows_.erase(key);
+  }
+
   /// A sidecar replied that its upstream does not hold the flow. When no
   /// sidecar holds it, the search ends, and the flow is reset if it is an open
   /// one.
--- a/packages/connection/include/kumquatvalve/connection/gate_decision.h
+++ b/packages/connection/include/kumquatvalve/connection/gate_decision.h
@@ -37,14 +37,17 @@
   kResponsive,
   /// A first packet waits until the upstream has room.
   kWaiting,
+  /// A packet of the upstream belongs to an earlier flow from the same caller
+  /// address and port; it was dropped.
+  kEarlierFlow,
 };
 
-inline constexpr size_t kGateVerdicts = 9;
+inline constexpr size_t kGateVerdicts = 10;
 
 constexpr std::string_view Name(GateVerdict verdict) {
   constexpr std::array<std::string_view, kGateVerdicts> kNames = {
-      "admitted", "returned",     "adopted",    "probed", "not_held",
-      "lost",     "unresponsive", "responsive", "waiting"};
+      "admitted", "returned",     "adopted",    "probed",  "not_held",
+      "lost",     "unresponsive", "responsive", "waiting", "earlier_flow"};
   return kNames[static_cast<size_t>(verdict)];
 }
 
--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -147,7 +147,12 @@
       RecordVerdict(GateVerdict::kAdopted, key);
     }
     Flow& flow = it->second;
+    if (IsOfEarlierFlow(flow, packet)) {
+      RecordVerdict(GateVerdict::kEarlierFlow, key);
+      return;
+    }
     flow.last_packet_at = now;
+    last_upstream_packet_at_ = now;
     if (packet.ack) {
       AdvanceCallerSequence(&flow, packet.acknowledgment);
     }
@@ -224,6 +229,13 @@
   /// Longest time between two calls of `OnTick`.
   static constexpr std::chrono::milliseconds kTick{50};
 
+  /// Whether requests are in progress or expected, or a response is being sent:
+  /// the process must not stop then if it can avoid it.
+  bool IsBusy(TimePoint now) const {
+    return load_.in_progress != 0 || load_.opening != 0 ||
+           now - last_upstream_packet_at_ < kResponsePause;
+  }
+
   size_t flows() const { return flows_.size(); }
   const request::UpstreamLoad& load() const { return load_; }
   size_t waiting() const { return waiting_.size(); }
@@ -264,6 +276,11 @@
   // How long a flow that the upstream rejected is known not to be held.
   static constexpr Milliseconds kNotHeldTtl{10000};
   static constexpr size_t kMaxNotHeldFlows = 20000;
+  // More than a caller sends without an acknowledgment, or repeats.
+  static constexpr uint32_t kMaxUnacknowledgedBytes = uint32_t{1} << 20;
+  // A response of many packets pauses for less than this time, unless one of
+  // them was lost.
+  static constexpr Milliseconds kResponsePause{60};
   // Weight of one flow in the exponentially weighted share of flows that sent a
   // request.
   static constexpr double kOpenedShareWeight = 0.05;
@@ -575,6 +592,19 @@
     sink_->Send(entry, message, packet.bytes);
   }
 
+  // Whether an upstream's packet answers a flow that the caller had before from
+  // the same port: it acknowledges bytes far from those that were delivered.
+  static bool IsOfEarlierFlow(const Flow& flow,
+                              const request::ParsedPacket& packet) {
+    if (!flow.admitted || !packet.ack || packet.rst) {
+      return false;
+    }
+    const uint32_t next =
+        flow.next_caller_sequence.value_or(flow.caller_isn + 1);
+    return packet.acknowledgment - next + kMaxUnacknowledgedBytes >
+           2 * kMaxUnacknowledgedBytes;
+  }
+
   static bool IsAfter(uint32_t sequence, uint32_t other) {
     return static_cast<int32_t>(sequence - other) > 0;
   }
@@ -743,6 +773,7 @@
       not_held_;
   absl::flat_hash_map<request::Endpoint, EntryState, EndpointHash> entries_;
   TimePoint last_entry_message_at_;
+  TimePoint last_upstream_packet_at_;
   WaitingFlows waiting_;
   /// Recently admitted flows, in the order of admission.
   std::deque<AdmittedFlow> admitted_;
--- a/packages/connection/test/entry_router_test.cc
+++ b/packages/connection/test/entry_router_test.cc
@@ -798,5 +798,54 @@
   CHECK(f.sink.SentOfKind(HopKind::kPacket).size() == 1500);
 }
 
+// A caller used its port again: a late reply about the earlier flow sent the
+// packets of the new one to an upstream that does not hold it.
+TEST_CASE("entry_router: a late reply about an earlier flow is ignored") {
+  Fixture f;
+  f.ReceiveData(1);
+  REQUIRE_FALSE(f.sink.SentOfKind(HopKind::kLocate).empty());
+  auto first = f.MakePacket(1);
+  first.syn = true;
+  first.sequence = 5000;
+  f.ReceivePacket(first);
+  const request::Endpoint holder =
+      f.sink.SentOfKind(HopKind::kPacket).back().to;
+  for (int i = 1; i <= 3; ++i) {
+    f.ReceiveMessage(i, HopKind::kHeld, 1);
+  }
+  auto data = f.MakePacket(1);
+  data.ack = true;
+  data.payload_size = 100;
+  f.ReceivePacket(data);
+  CHECK(f.sink.SentOfKind(HopKind::kPacket).back().to == holder);
+}
+
+// A flow that had been lost got its caller a reset on the next flow from the
+// same port.
+TEST_CASE("entry_router: a new flow from the port of a lost one is not reset") {
+  Fixture f;
+  f.now += milliseconds(1);
+  SearchWithoutHolder(&f);
+  f.router.OnUpstreamRecords(f.records, f.now, f.now);
+  REQUIRE(f.sink.resets.size() == 1);
+  auto first = f.MakePacket(1);
+  first.syn = true;
+  first.sequence = 5000;
+  f.ReceivePacket(first);
+  // The table drops a flow that was not opened within 2 s; its packets start a
+  // search.
+  f.now += milliseconds(2500);
+  f.router.OnTick(f.now);
+  f.ReceiveData(1);
+  CHECK(f.sink.resets.size() == 1);
+}
+
+// Late replies to searches that had ended added flows without a limit.
+TEST_CASE("entry_router: a reply without a search adds no flow") {
+  Fixture f;
+  f.ReceiveMessage(1, HopKind::kHeld, 9);
+  CHECK(f.router.flows() == 0);
+}
+
 }  // namespace
 }  // namespace kumquatvalve::connection
--- a/packages/connection/test/upstream_gate_test.cc
+++ b/packages/connection/test/upstream_gate_test.cc
@@ -109,6 +109,7 @@
     request::ParsedPacket packet;
     packet.flow = request::Reverse(Key(port));
     packet.ack = true;
+    packet.acknowledgment = 78;
     packet.sequence = 501;
     return packet;
   }
@@ -595,5 +596,44 @@
   CHECK(f.sink.count(HopKind::kHeld) == 1);
 }
 
+// An upstream sent a late copy of its response after the caller had opened a
+// new flow from the same port: it reached the new flow and marked it as ended.
+TEST_CASE("upstream_gate: a late packet of an earlier flow is dropped") {
+  Fixture f;
+  f.ReceiveFromCaller(f.CallerSyn(1));
+  f.ReceiveFromUpstream(f.SynAck(1));
+  auto again = f.CallerSyn(1);
+  again.sequence = 4000000077;
+  f.ReceiveFromCaller(again);
+  const int sent = f.sink.sent_to_caller;
+  auto late = f.ResponseData(1);
+  late.fin = true;
+  f.ReceiveFromUpstream(late);
+  CHECK(f.sink.sent_to_caller == sent);
+  CHECK(f.sink.decisions.back().verdict == GateVerdict::kEarlierFlow);
+  auto current = f.SynAck(1);
+  current.acknowledgment = 4000000078;
+  f.ReceiveFromUpstream(current);
+  CHECK(f.sink.sent_to_caller == sent + 1);
+}
+
+// A sidecar that was stopped ended as soon as a response had begun, in the
+// middle of a download.
+TEST_CASE(
+    "upstream_gate: a response that is being sent keeps the sidecar busy") {
+  Fixture f;
+  f.now += milliseconds(1000);
+  CHECK_FALSE(f.gate.IsBusy(f.now));
+  f.ReceiveFromCaller(f.CallerSyn(1));
+  CHECK(f.gate.IsBusy(f.now));
+  f.ReceiveFromUpstream(f.SynAck(1));
+  f.ReceiveFromCaller(f.CallerData(1));
+  f.now += milliseconds(30);
+  f.ReceiveFromUpstream(f.ResponseData(1));
+  CHECK(f.gate.load().in_progress == 0);
+  CHECK(f.gate.IsBusy(f.now + milliseconds(59)));
+  CHECK_FALSE(f.gate.IsBusy(f.now + milliseconds(60)));
+}
+
 }  // namespace
 }  // namespace kumquatvalve::connection
--- a/packages/process/include/kumquatvalve/process/sidecar_node.h
+++ b/packages/process/include/kumquatvalve/process/sidecar_node.h
@@ -143,7 +143,8 @@
   bool Ready() const { return !stopping_; }
 
   /// Starts a drain: no new flows are admitted, and `Run` returns when no
-  /// request is in progress or expected, or the stop timeout is almost over.
+  /// request is in progress or expected and no response is being sent, or the
+  /// stop timeout is almost over.
   void Stop() { stopping_ = true; }
 
   /// Forwards packets. Returns after `Stop`.
@@ -212,9 +213,7 @@
     if (stop_at_ && !std::exchange(drain_started_, true)) {
       gate_.StartDrain(now_);
     }
-    const auto& load = gate_.load();
-    stopped_ = stopped_ ||
-               (drain_started_ && load.in_progress == 0 && load.opening == 0);
+    stopped_ = stopped_ || (drain_started_ && !gate_.IsBusy(now_));
     output_.Flush();
   }
 
