Bound the rate of hellos of an entry instance

Cause: every entry instance asks every upstream for a report once a second, so that messages grow with the product of both: 18,500 a second at 91 instances before 204 upstreams, and as many replies, most of them between zones. Change: an instance sends at most 50 hellos a second to its own zone and 50 to all others together; an upstream that does not react is asked every second as before, so that one lost datagram does not make it look dead.

--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -18,6 +18,7 @@
 #include "kumquatvalve/connection/admission_policy.h"
 #include "kumquatvalve/connection/entry_decision.h"
 #include "kumquatvalve/connection/flow_locator.h"
+#include "kumquatvalve/connection/hello_schedule.h"
 #include "kumquatvalve/connection/placement.h"
 #include "kumquatvalve/connection/stale_records.h"
 #include "kumquatvalve/connection/upstream_set.h"
@@ -85,6 +86,7 @@
   void OnUpstreamRecords(std::span<const version::UpstreamRecord> records,
                          TimePoint complete_at, TimePoint now) {
     upstreams_.Replace(records, now);
+    UpdateHelloSchedule();
     upstreams_received_ = true;
     SendHellos(now);
     locator_.OnRecords(complete_at, now);
@@ -246,8 +248,6 @@
   // A caller retransmits its first packet for at most 1.4 s.
   static constexpr Milliseconds kOpeningFlowTtl{2000};
   static constexpr Milliseconds kSweepInterval{1000};
-  // Time between two requests for a load report to an idle upstream.
-  static constexpr Milliseconds kHelloInterval{1000};
 
   // Cost of placing a flow in another availability zone, expressed as latency.
   // A short request carries about 3 kB between zones, a bulk transfer 40 kB.
@@ -575,9 +575,19 @@
     sink_->Send(sidecar, message, packet);
   }
 
+  void UpdateHelloSchedule() {
+    const auto& views = upstreams_.views();
+    const auto same_zone = static_cast<size_t>(
+        std::count_if(views.begin(), views.end(),
+                      [](const auto& it) { return it.second.same_zone(); }));
+    hello_schedule_.SetUpstreams(same_zone, views.size() - same_zone);
+  }
+
   void SendHellos(TimePoint now) {
     for (auto& [sidecar, view] : upstreams_.views()) {
-      if (view.IsHelloDue(now, kHelloInterval)) {
+      const bool unanswered = view.UnresponsiveTime(now).count() != 0;
+      if (view.IsHelloDue(
+              now, hello_schedule_.Interval(view.same_zone(), unanswered))) {
         request::HopMessage message;
         message.kind = view.listed() ? request::HopKind::kHello
                                      : request::HopKind::kUnlisted;
@@ -619,6 +629,7 @@
       earlier_services_;
   UpstreamSet upstreams_;
   absl::flat_hash_map<request::FlowKey, Flow, request::FlowKeyHash> flows_;
+  HelloSchedule hello_schedule_;
   StaleRecords stale_records_{config_.seed};
   LocatorAdapter host_{this};
   FlowLocator<LocatorAdapter> locator_{&host_};
--- a/packages/connection/include/kumquatvalve/connection/upstream_view.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_view.h
@@ -49,6 +49,8 @@
   bool AcceptsNewFlows(TimePoint now, bool last_resort) const;
 
   bool listed() const { return !unlisted_since_; }
+  /// Whether the upstream is in the entry instance's zone.
+  bool same_zone() const { return same_zone_; }
 
   /// Whether the upstream has to be kept when the store has no record of it:
   /// its sidecar is alive, and neither its record nor a report announced a
--- a/packages/connection/src/upstream_view.cc
+++ b/packages/connection/src/upstream_view.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "kumquatvalve/connection/hello_schedule.h"
+
 namespace kumquatvalve::connection {
 namespace {
 
@@ -13,8 +15,8 @@
 // covers the round trip and scheduling delays of a busy processor.
 constexpr milliseconds kUnresponsiveTimeout{250};
 
-// Hello messages are sent every second, so either three of them were lost or
-// the machine is dead.
+// An upstream that does not react is sent a hello every second, so either three
+// of them were lost or the machine is dead.
 constexpr milliseconds kDeadTimeout{3000};
 
 // A sidecar that never replied to this process is more likely dead, since
@@ -154,12 +156,13 @@
 
 bool UpstreamView::IsHelloDue(TimePoint now,
                               std::chrono::milliseconds interval) const {
-  // A sidecar without a record is notified at every interval, even while it
-  // sends messages.
+  // A sidecar without a record is notified every second, even while it sends
+  // messages.
   const TimePoint received =
       listed() ? last_received_at_.value_or(TimePoint()) : TimePoint();
   const TimePoint last = std::max(hello_sent_at_, received);
-  return hello_sent_at_ == TimePoint() || now - last >= interval;
+  return hello_sent_at_ == TimePoint() ||
+         now - last >= (listed() ? interval : HelloSchedule::kMinInterval);
 }
 
 PlacementCandidate UpstreamView::Candidate() const {
