Deliver waiting flows first that can still be on time

Cause: after an outage all callers return at once. In the order of arrival those that waited through the outage made every later one late too, until the backlog was gone. A copy of a first packet also waited for half of the route's limit although its caller had used up most of it.

Change: a final offer carries how long a response is still within the target latency; among waiting flows the oldest one that can be on time goes first. A flow waits for half of the time that its caller still waits. Refusals are logged with their reason, expected wait and revision.

Result (waiting_flows_test, one upstream, 30 callers of an outage): 9 of 25 new callers on time before, 25 after; 41 and 33 served in all.

--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -243,6 +243,8 @@
   // A caller gives up 1.4 s after its first packet; the difference covers the
   // path of the packets.
   static constexpr Milliseconds kMaxOpeningWait{1200};
+  // A limit of 0 stands for flows that do not wait.
+  static constexpr Milliseconds kMinWait{1};
   // Ended flows are retained for retransmissions of their last packets.
   static constexpr Milliseconds kEndedFlowTtl{4000};
   // A caller retransmits its first packet for at most 1.4 s.
@@ -258,6 +260,7 @@
     bool probe = false;
     bool final_offer = false;
     Milliseconds wait_limit{0};
+    Milliseconds target_remaining{0};
   };
 
   struct Flow {
@@ -276,6 +279,7 @@
     size_t offer_count = 0;
     /// Number of offers that a sidecar returned.
     size_t return_count = 0;
+    request::ReturnReason last_return_reason = request::ReturnReason::kNone;
     /// The first packet was offered to another upstream while the previous one
     /// may have responded to it.
     bool duplicate_offer = false;
@@ -360,7 +364,10 @@
     EntryDecision decision;
     UpstreamView* view = ChooseCandidate(route, flow.excluded, &decision, now);
     if (view == nullptr || flow.offer_count >= kMaxOffers) {
-      Refuse(flow, packet, decision.verdict, route);
+      decision.flow = packet.flow;
+      decision.route = &route;
+      decision.reason = flow.last_return_reason;
+      Refuse(flow, packet, decision);
       return;
     }
     flow.holder = view->sidecar();
@@ -383,34 +390,40 @@
     decision.route_revision = routes_->revision;
     const request::Endpoint holder = flow.holder;
     flows_.insert_or_assign(packet.flow, std::move(flow));
-    Forward(
-        holder, packet.bytes,
-        {.final_offer = final_offer, .wait_limit = WaitLimit(packet, route)},
-        now);
+    Forward(holder, packet.bytes,
+            {.final_offer = final_offer,
+             .wait_limit = WaitLimit(packet, route),
+             .target_remaining = std::max(
+                 Milliseconds(0), route.target_latency - packet.waited)},
+            now);
     sink_->RecordDecision(decision);
   }
 
-  // How long a flow may wait at a sidecar. At most half of the route's timeout,
-  // since a flow that opens late leaves too little time for the response. Bulk
+  // How long a flow may wait at a sidecar. At most half of the time that its
+  // caller still waits, since a flow that opens late leaves too little time for
+  // the response. Bulk
   // transfers do not wait: they spend most of their time on the network, so
   // work in progress says little about free slots.
   static Milliseconds WaitLimit(const request::ParsedPacket& packet,
                                 const version::Route& route) {
     return route.shape == version::TrafficShape::kBulk
                ? Milliseconds(0)
-               : std::min(kMaxOpeningWait - packet.waited, route.timeout / 2);
+               : std::max(kMinWait,
+                          std::min(kMaxOpeningWait - packet.waited,
+                                   (route.timeout - packet.waited) / 2));
   }
 
   // Ends the flow with a reset, but only when every offer was returned:
   // otherwise an upstream may have accepted it.
   void Refuse(const Flow& flow, const request::ParsedPacket& packet,
-              EntryVerdict verdict, const version::Route& route) {
+              EntryDecision decision) {
     const bool all_returned = flow.offer_count == flow.return_count;
     if (all_returned) {
       flows_.erase(packet.flow);
       sink_->Reset(packet);
     }
-    RecordVerdict(verdict, packet.flow, &route);
+    decision.route_revision = routes_->revision;
+    sink_->RecordDecision(decision);
   }
 
   const version::RouteShare* PickShare(const version::Route& route) {
@@ -498,6 +511,7 @@
     }
     Flow flow = it->second;
     ++flow.return_count;
+    flow.last_return_reason = reason;
     if (reason == request::ReturnReason::kQueueFull) {
       // The sidecar's queue may still have the shortest expected wait, so the
       // flow may be offered to it again.
@@ -571,6 +585,7 @@
     message.probe = options.probe;
     message.final_offer = options.final_offer;
     message.max_wait = options.wait_limit;
+    message.target_remaining = options.target_remaining;
     view->OnMessageSent(now);
     sink_->Send(sidecar, message, packet);
   }
--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -19,6 +19,7 @@
 #include "kumquatvalve/connection/gate_decision.h"
 #include "kumquatvalve/connection/identity_tracker.h"
 #include "kumquatvalve/connection/offer_decision.h"
+#include "kumquatvalve/connection/placement.h"
 #include "kumquatvalve/connection/service_time_estimate.h"
 #include "kumquatvalve/connection/waiting_flows.h"
 #include "kumquatvalve/request/flow_key.h"
@@ -276,6 +277,9 @@
   // How long a flow that the upstream rejected is known not to be held.
   static constexpr Milliseconds kNotHeldTtl{10000};
   static constexpr size_t kMaxNotHeldFlows = 20000;
+  // From the delivery of a first packet to the arrival of the request, and from
+  // the response to its arrival at the caller: three times 3 ms.
+  static constexpr Milliseconds kOpeningTime{9};
   // More than a caller sends without an acknowledgment, or repeats.
   static constexpr uint32_t kMaxUnacknowledgedBytes = uint32_t{1} << 20;
   // A response of many packets pauses for less than this time, unless one of
@@ -354,6 +358,17 @@
     state.report_due = true;
   }
 
+  // Until when the offered flow can be delivered and get its response within
+  // the target latency.
+  TimePoint OnTimeUntil(const request::HopMessage& message,
+                        TimePoint now) const {
+    const auto service_time =
+        load_.service_time_us != 0
+            ? std::chrono::microseconds(load_.service_time_us)
+            : kDefaultServiceTime;
+    return now + message.target_remaining - kOpeningTime - service_time;
+  }
+
   void OnFirstPacket(const request::Endpoint& entry,
                      const request::HopMessage& message,
                      const request::ParsedPacket& packet, TimePoint now) {
@@ -368,8 +383,12 @@
       }
       next_trial_at_ = now + kTrialInterval;
     }
-    switch (DecideOffer(CurrentOfferState(), message.final_offer,
-                        message.max_wait)) {
+    const TimePoint on_time_until = OnTimeUntil(message, now);
+    OfferState state = CurrentOfferState();
+    if (now < on_time_until) {
+      state.waiting = waiting_.CountOnTime(now);
+    }
+    switch (DecideOffer(state, message.final_offer, message.max_wait)) {
       case OfferAction::kDeliver:
         Admit(entry, packet, now);
         return;
@@ -379,6 +398,7 @@
         flow.caller_isn = packet.sequence;
         flow.entry = entry;
         flow.deadline = now + message.max_wait;
+        flow.on_time_until = on_time_until;
         flow.bytes.assign(packet.bytes.begin(), packet.bytes.end());
         if (waiting_.Push(std::move(flow))) {
           RecordVerdict(GateVerdict::kWaiting, packet.flow);
--- a/packages/connection/src/waiting_flows.cc
+++ b/packages/connection/src/waiting_flows.cc
@@ -29,14 +29,26 @@
 }
 
 std::optional<WaitingFlow> WaitingFlows::Pop(TimePoint now) {
-  while (!flows_.empty()) {
-    WaitingFlow flow = std::move(flows_.front());
-    flows_.pop_front();
-    if (now < flow.deadline) {
-      return flow;
-    }
+  std::erase_if(flows_,
+                [now](const WaitingFlow& it) { return now >= it.deadline; });
+  if (flows_.empty()) {
+    return std::nullopt;
   }
-  return std::nullopt;
+  auto next = std::find_if(
+      flows_.begin(), flows_.end(),
+      [now](const WaitingFlow& it) { return now < it.on_time_until; });
+  if (next == flows_.end()) {
+    next = flows_.begin();
+  }
+  WaitingFlow flow = std::move(*next);
+  flows_.erase(next);
+  return flow;
+}
+
+size_t WaitingFlows::CountOnTime(TimePoint now) const {
+  return static_cast<size_t>(std::count_if(
+      flows_.begin(), flows_.end(),
+      [now](const WaitingFlow& it) { return now < it.on_time_until; }));
 }
 
 std::vector<WaitingFlow> WaitingFlows::TakeAll() {
--- a/packages/connection/test/entry_router_test.cc
+++ b/packages/connection/test/entry_router_test.cc
@@ -50,6 +50,7 @@
   }
   void RecordDecision(const EntryDecision& decision) {
     verdicts.push_back(decision.verdict);
+    last_decision = decision;
   }
 
   std::vector<Sent> SentOfKind(HopKind kind) const {
@@ -63,6 +64,7 @@
   std::vector<request::FlowKey> resets;
   std::vector<request::ParsedPacket> packets;
   std::vector<EntryVerdict> verdicts;
+  EntryDecision last_decision;
   int record_reads = 0;
   int peer_queries = 0;
   std::vector<request::Endpoint> removed;
@@ -847,5 +849,27 @@
   CHECK(f.router.flows() == 0);
 }
 
+// The log line of a refusal had no reason, so that its cause could not be told
+// from the entry instance's log.
+TEST_CASE("entry_router: a refusal names why the last offer was returned") {
+  Fixture f;
+  auto first = f.MakePacket(1);
+  first.syn = true;
+  f.ReceivePacket(first);
+  for (int i = 0; i < 5 && f.sink.resets.empty(); ++i) {
+    const Sent offer = f.sink.SentOfKind(HopKind::kPacket).back();
+    request::HopMessage message;
+    message.kind = HopKind::kReturned;
+    message.service = request::ServiceTagOf("patio");
+    message.reason = ReturnReason::kRejected;
+    f.router.OnHopMessage(offer.to, message, offer.packet, f.now);
+  }
+  REQUIRE(f.sink.resets.size() == 1);
+  CHECK(f.sink.last_decision.verdict == EntryVerdict::kNotTaken);
+  CHECK(f.sink.last_decision.reason == ReturnReason::kRejected);
+  CHECK(f.sink.last_decision.flow == first.flow);
+  CHECK(f.sink.last_decision.route_revision == 1);
+}
+
 }  // namespace
 }  // namespace kumquatvalve::connection
--- a/packages/connection/test/waiting_flows_test.cc
+++ b/packages/connection/test/waiting_flows_test.cc
@@ -1,6 +1,8 @@
 #include "kumquatvalve/connection/waiting_flows.h"
 
 #include <catch2/catch.hpp>
+#include <utility>
+#include <vector>
 
 namespace kumquatvalve::connection {
 namespace {
@@ -35,6 +37,90 @@
   CHECK(flows.empty());
 }
 
+TEST_CASE("waiting_flows: flows that can be on time go first") {
+  WaitingFlows flows;
+  flows.Push(Flow(1, milliseconds(500)));
+  for (const uint16_t port : {2, 3}) {
+    WaitingFlow flow = Flow(port, milliseconds(500));
+    flow.on_time_until = kNow + milliseconds(100 * port);
+    flows.Push(std::move(flow));
+  }
+  CHECK(flows.CountOnTime(kNow) == 2);
+  CHECK(flows.Pop(kNow)->flow.caller.port == 2);
+  CHECK(flows.CountOnTime(kNow + milliseconds(300)) == 0);
+  // It waited too long to be on time, so the order of arrival holds.
+  CHECK(flows.Pop(kNow + milliseconds(300))->flow.caller.port == 1);
+  CHECK(flows.Pop(kNow + milliseconds(300))->flow.caller.port == 3);
+}
+
+struct ReplayResult {
+  int on_time = 0;
+  int served = 0;
+};
+
+// Replays the second after an outage at one upstream with two slots, which work
+// slowly while it is cold: all callers of the outage return at once, new ones
+// come as before. All have a target of 150 ms and wait for 400 ms.
+ReplayResult ReplayReturn(bool on_time_first) {
+  constexpr int kSlots = 2;
+  constexpr int kWorkMs = 45;
+  constexpr int kTargetMs = 150;
+  constexpr int kGapMs = 40;
+  WaitingFlows flows;
+  std::vector<int> arrived_ms;
+  const auto push = [&](int now_ms, bool fresh) {
+    WaitingFlow flow =
+        Flow(static_cast<uint16_t>(arrived_ms.size()), milliseconds(now_ms));
+    flow.deadline += milliseconds(400);
+    if (fresh && on_time_first) {
+      flow.on_time_until = kNow + milliseconds(now_ms + kTargetMs - kWorkMs);
+    }
+    // The others waited for longer than their target before they arrived.
+    arrived_ms.push_back(fresh ? now_ms : now_ms - 200);
+    flows.Push(std::move(flow));
+  };
+  for (int i = 0; i < 30; ++i) {
+    push(0, false);
+  }
+  ReplayResult result;
+  std::vector<int> free_at_ms(kSlots, 0);
+  for (int now_ms = 0; now_ms < 1000; ++now_ms) {
+    if (now_ms % kGapMs == 0) {
+      push(now_ms, true);
+    }
+    for (int& it : free_at_ms) {
+      if (it > now_ms) {
+        continue;
+      }
+      const auto flow = flows.Pop(kNow + milliseconds(now_ms));
+      if (flow) {
+        it = now_ms + kWorkMs;
+        const int latency_ms = it - arrived_ms[flow->flow.caller.port];
+        ++result.served;
+        result.on_time += latency_ms <= kTargetMs ? 1 : 0;
+      }
+    }
+  }
+  return result;
+}
+
+// A late response has 0.3 of the value of one on time.
+double Value(const ReplayResult& result) {
+  return result.on_time + 0.3 * (result.served - result.on_time);
+}
+
+// In the order of arrival, callers that came after the outage were late too.
+TEST_CASE("waiting_flows: new callers are on time after an outage") {
+  const ReplayResult by_arrival = ReplayReturn(/*on_time_first=*/false);
+  const ReplayResult on_time_first = ReplayReturn(/*on_time_first=*/true);
+  INFO("on time " << by_arrival.on_time << ", " << on_time_first.on_time);
+  CHECK(on_time_first.on_time >= 23);
+  CHECK(by_arrival.on_time < 18);
+  // Fewer callers of the outage are served before they give up, but a late
+  // response has a third of the value of one on time.
+  CHECK(Value(on_time_first) > 1.3 * Value(by_arrival));
+}
+
 TEST_CASE("waiting_flows: the packet equals the one that was queued") {
   const WaitingFlow flow = Flow(7, milliseconds(100));
   const request::ParsedPacket packet = flow.ToPacket();
--- a/packages/request/include/kumquatvalve/request/hop_message.h
+++ b/packages/request/include/kumquatvalve/request/hop_message.h
@@ -138,6 +138,10 @@
   /// For `kPacket` with `final_offer`: how long the caller waits for its flow
   /// to open; at most 65,535 ms on the wire.
   std::chrono::milliseconds max_wait{0};
+  /// For `kPacket` with `final_offer`: how long from now a response is still
+  /// within the route's target latency; 0 when it is too late for that, or
+  /// unknown. At most 65,535 ms on the wire, and left out there when 0.
+  std::chrono::milliseconds target_remaining{0};
   /// For `kLocate`, `kHeld`, `kNotHeld`, `kInconclusive`.
   FlowKey flow;
   /// For `kLocate`: the acknowledgment number of the caller's packet, which
--- a/packages/request/src/hop_message.cc
+++ b/packages/request/src/hop_message.cc
@@ -17,6 +17,7 @@
 constexpr uint8_t kUnresponsiveFlag = 1U << 2;
 constexpr uint8_t kFinalOfferFlag = 1U << 3;
 constexpr uint8_t kInconclusiveListFlag = 1U << 4;
+constexpr uint8_t kTargetFlag = 1U << 5;
 
 // Times are encoded in 16 bits.
 constexpr int64_t kMaxTimeMs = 65535;
@@ -106,12 +107,17 @@
   return message.kind == HopKind::kPacket && message.final_offer;
 }
 
+bool CarriesTarget(const HopMessage& message) {
+  return CarriesMaxWait(message) && message.target_remaining.count() > 0;
+}
+
 uint8_t EncodeFlags(const HopMessage& message) {
   return (message.probe ? kProbeFlag : 0) |
          (message.final_offer ? kFinalOfferFlag : 0) |
          (message.load.draining ? kDrainingFlag : 0) |
          (message.load.unresponsive ? kUnresponsiveFlag : 0) |
-         (message.list.inconclusive ? kInconclusiveListFlag : 0);
+         (message.list.inconclusive ? kInconclusiveListFlag : 0) |
+         (CarriesTarget(message) ? kTargetFlag : 0);
 }
 
 }  // namespace
@@ -149,6 +155,9 @@
   if (CarriesMaxWait(message)) {
     writer.Put(message.max_wait);
   }
+  if (CarriesTarget(message)) {
+    writer.Put(message.target_remaining);
+  }
   if (CarriesFlow(message.kind)) {
     writer.Put(message.flow.caller);
     writer.Put(message.flow.service);
@@ -213,6 +222,10 @@
   message.final_offer = (flags & kFinalOfferFlag) != 0;
   if (CarriesMaxWait(message)) {
     message.max_wait = std::chrono::milliseconds(reader.Get<uint16_t>());
+    if ((flags & kTargetFlag) != 0) {
+      message.target_remaining =
+          std::chrono::milliseconds(reader.Get<uint16_t>());
+    }
   }
   if (CarriesFlow(message.kind)) {
     message.flow.caller = reader.GetEndpoint();
--- a/packages/request/test/hop_message_test.cc
+++ b/packages/request/test/hop_message_test.cc
@@ -83,6 +83,22 @@
   CHECK(read->max_wait == std::chrono::milliseconds(65535));
 }
 
+TEST_CASE("hop_message: a final offer carries the time to its target") {
+  HopMessage message = MakeMessage(HopKind::kPacket);
+  message.final_offer = true;
+  message.max_wait = std::chrono::milliseconds(500);
+  const size_t without = EncodeHopMessage(message).size;
+  message.target_remaining = std::chrono::milliseconds(120);
+  std::span<const std::byte> packet;
+  Failure failure;
+  const auto read =
+      DecodeHopMessage(EncodeHopMessage(message).span(), &packet, &failure);
+  REQUIRE(read);
+  CHECK(read->max_wait == std::chrono::milliseconds(500));
+  CHECK(read->target_remaining == std::chrono::milliseconds(120));
+  CHECK(EncodeHopMessage(message).size == without + 2);
+}
+
 TEST_CASE("hop_message: fingerprints are decoded as they were encoded") {
   const std::vector<uint32_t> values = {0, 1, 0xfedcba98, 0xffffffff};
   CHECK(DecodeFingerprints(EncodeFingerprints(values)) == values);
