--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -362,10 +362,10 @@
   // the target latency.
   TimePoint OnTimeUntil(const request::HopMessage& message,
                         TimePoint now) const {
-    const auto service_time =
-        load_.service_time_us != 0
-            ? std::chrono::microseconds(load_.service_time_us)
-            : kDefaultServiceTime;
+    std::chrono::microseconds service_time = kDefaultServiceTime;
+    if (load_.service_time_us != 0) {
+      service_time = std::chrono::microseconds{load_.service_time_us};
+    }
     return now + message.target_remaining - kOpeningTime - service_time;
   }
 
--- a/packages/process/test/peer_client_test.cc
+++ b/packages/process/test/peer_client_test.cc
@@ -96,10 +96,10 @@
         std::string(R"({"path":"u/2","version":1e30,"body":"b"})"),
         std::string("{\"path\":\"\xff\",\"version\":1,\"body\":\"b\"}")}) {
     Failure failure;
-    const auto snapshot =
-        DecodePeerSnapshot("{\"configuration\":" + odd + ",\"records\":[" +
-                               good + "," + odd + "," + good + "]}",
-                           &failure);
+    std::string text = R"({"configuration":)";
+    text.append(odd).append(R"(,"records":[)").append(good).append(",");
+    text.append(odd).append(",").append(good).append("]}");
+    const auto snapshot = DecodePeerSnapshot(text, &failure);
     REQUIRE(snapshot);
     CHECK_FALSE(snapshot->configuration);
     CHECK(snapshot->records.size() == 2);
