--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -37,7 +37,8 @@
           "graceS": 6, "lossSlackMs": 200, "configApplyMs": 5000, "downgradeMs": 250, "maxStretchMs": 15000,
           "recoveryS": 15, "reorderMs": 2000, "maxFlowS": 60}
 HEARTBEAT_S = 1.2
-IDLE_TIMEOUT_MS = 15000
+# The platform's names for fields and calls, with placeholders for the values.
+PLATFORM = json.loads((pathlib.Path(__file__).resolve().parent / "platform.json").read_text())
 STABILITY_S = BOUNDS["stabilityWindowMs"] / 1000
 # A process that ended is started again after this time.
 RESTART_DELAY_S = 0.3
@@ -124,6 +125,17 @@
     return re.sub(r"\{\{([\w.]+)\}\}", lambda m: str(lookup(m[1], fields)), text)
 
 
+def fill(template, **values):
+    """Fills in the placeholders in all texts of a template."""
+    if isinstance(template, str):
+        return template.format(**values)
+    if isinstance(template, list):
+        return [fill(it, **values) for it in template]
+    if isinstance(template, dict):
+        return {key: fill(it, **values) for key, it in template.items()}
+    return template
+
+
 class Segments:
     """One end's packets in flight: retransmits the oldest ones until they are acknowledged."""
 
@@ -229,9 +241,9 @@
             self.world.record("drain_confirmed", server=self.id)
 
     def report_body(self, state):
-        return {"service": self.service, "address": f"{self.node.ip}:{self.node.ports['app']}", "zone": self.node.zone,
-                "version": "v1", "slots": self.world.slots, "state": state, "warmupLeftMs": 0, "seq": self.reports,
-                "born": self.born}
+        return PLATFORM["report"] | {
+            "service": self.service, "address": f"{self.node.ip}:{self.node.ports['app']}", "zone": self.node.zone,
+            "slots": self.world.slots, "state": state, "seq": self.reports, "born": self.born}
 
     def transmit(self, packet):
         if self.alive:
@@ -576,7 +588,8 @@
     async def post_report(self, node, server_id, what, body):
         """Sends a status report to the server's own machine. Returns the status; None without one within 1 s."""
         text = json.dumps(body)
-        head = (f"POST /kumquatvalve/instances/{server_id}/{what} HTTP/1.1\r\nHost: x\r\n"
+        path = fill(PLATFORM["report_path"], server=server_id, call=what)
+        head = (f"POST {path} HTTP/1.1\r\nHost: x\r\n"
                 f"Content-Type: application/json\r\nContent-Length: {len(text)}\r\n\r\n")
         status = None
         try:
@@ -593,20 +606,8 @@
     # Processes.
 
     def settings(self, node):
-        ports = node.ports
-        fields = {
-            "node": node.name, "zone": node.zone, "region": "gye", "ip": node.ip, "machineClass": node.machine_class,
-            "listen": {"datagramAddr": f"{node.ip}:{self.packet_port}", "ready": f"{node.ip}:{ports['ready']}",
-                       "control": f"{node.ip}:{ports['control']}"},
-            "internalPorts": [ports["internal"], ports["internal"]],
-            "seeds": [f"{it.ip}:{it.ports['control']}" for it in self.entries[:3]],
-            "bounds": BOUNDS, "platform": {"address": node.store_address},
-        }
-        if node.machine_class == "side":
-            fields["listen"]["outbound"] = f"{node.ip}:{ports['outbound']}"
-            fields["app"] = f"{node.ip}:{ports['app']}"
-            fields["service"] = node.service
-        return fields
+        fields = fill(PLATFORM["settings"], packets=self.packet_port, **node.ports, **vars(node))
+        return fields | {"seeds": [f"{it.ip}:{it.ports['control']}" for it in self.entries[:3]], "bounds": BOUNDS}
 
     def start_process(self, node):
         role = next(it for it in self.spec["roles"].values() if it["on"] == node.machine_class)
@@ -639,16 +640,12 @@
     def put_config(self, routes):
         """Writes a desired state. The store's response is its confirmation."""
         self.version = getattr(self, "version", 0) + 4
-        names = sorted({it.service for it in self.sides})
+        services = sorted({it.service for it in self.sides})
         self.store.put("config", "main", {
             "version": self.version,
-            "routes": [{"name": f"r-{address[0]}-{address[1]}", "host": address[0], "pathPrefix": f"/{address[1]}/",
-                        "type": "safe", "timeoutMs": 3000, "targetLatencyMs": 200, "priority": 2, "service": service,
-                        "maxAttempts": 2} for address, service in routes.items()],
-            "services": [{"name": it, "healthPath": "/health", "maxFlows": 2000, "protocol": "h1", "tls": False}
-                         for it in names],
-            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000,
-                       "idleTimeoutMs": IDLE_TIMEOUT_MS}})
+            "routes": [fill(PLATFORM["route"], ip=ip, port=port, service=it) for (ip, port), it in routes.items()],
+            "services": [fill(PLATFORM["service"], service=it) for it in services],
+            "limits": PLATFORM["limits"]})
         self.record("config", version=self.version, routes={f"{a[0]}:{a[1]}": s for a, s in routes.items()})
 
     async def start_server(self, node, born_ms=None, lost_reports=0):
