--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -136,6 +136,33 @@
     return template
 
 
+async def paced_link(ip, port, mbps):
+    """Listens on a new port and passes connections on to `port`, in the other direction at `mbps`. Returns the port."""
+    chunk_s = 0.005
+    chunk = int(mbps * 1e6 / 8 * chunk_s)
+
+    async def copy(reader, writer, paced):
+        free_at = time.monotonic()
+        try:
+            while data := await reader.read(chunk if paced else 65536):
+                if paced:
+                    free_at = max(free_at, time.monotonic()) + len(data) / chunk * chunk_s
+                    await asyncio.sleep(max(0.0, free_at - time.monotonic()))
+                writer.write(data)
+                await writer.drain()
+        except ConnectionError:
+            pass
+        finally:
+            writer.close()
+
+    async def serve(reader, writer):
+        there, back = await asyncio.open_connection(ip, port)
+        await asyncio.gather(copy(reader, back, False), copy(there, writer, True))
+
+    server = await asyncio.start_server(serve, ip, 0)
+    return server.sockets[0].getsockname()[1]
+
+
 class Segments:
     """One end's packets in flight: retransmits the oldest ones until they are acknowledged."""
 
@@ -447,6 +474,8 @@
     service: str = ""
     ports: dict = dataclasses.field(default_factory=dict)
     store_address: str = ""
+    # Rate of the machine's link, as far as it delays what the store sends; 0 for no delay.
+    link_mbps: float = 0
     process: subprocess.Popen = None
     # Last moment at which the machine or its server was disturbed, and by what.
     disturbed_at: float = -1e9
@@ -646,7 +675,8 @@
             "routes": [fill(PLATFORM["route"], ip=ip, port=port, service=it) for (ip, port), it in routes.items()],
             "services": [fill(PLATFORM["service"], service=it) for it in services],
             "limits": PLATFORM["limits"]})
-        self.record("config", version=self.version, routes={f"{a[0]}:{a[1]}": s for a, s in routes.items()})
+        self.record("config", version=self.version, count=len(routes),
+                    routes={f"{a[0]}:{a[1]}": s for a, s in list(routes.items())[-20:]})
 
     async def start_server(self, node, born_ms=None, lost_reports=0):
         server = Server(self, node, born_ms, lost_reports)
@@ -667,7 +697,10 @@
                     pass
                 used.add(port)
                 node.ports[kind] = port
-            node.store_address = f"{self.store_ip}:{await self.store.listen(node.name, self.store_ip)}"
+            port = await self.store.listen(node.name, self.store_ip)
+            if node.link_mbps:
+                port = await paced_link(self.store_ip, port, node.link_mbps)
+            node.store_address = f"{self.store_ip}:{port}"
         self.put_config(routes)
         for node in self.nodes:
             if node.name in later:
