Try an unresponsive upstream again after each of its heartbeats

Cause: a sidecar that forwarded first packets before its upstream had started marked the upstream as unresponsive. Only a packet of the upstream cleared the mark, entry instances offer no flows to such an upstream while another one accepts them, and an upstream without flows sends nothing. Evidence: each idle upstream's sidecar logged "unresponsive", then "upstream_changed" about 1 s later, and nothing after that.

Change: Responsiveness decides on the mark and on trials, without I/O and with the clock passed in. A heartbeat permits one trial: the next load report invites flows, the first one is delivered (verdict "trial"), others are returned until the upstream responds. An upstream that sends no heartbeats gets no trial while another one accepts flows, so none is spent on a dead one. A rejected packet counts as a response. Messages keep their format; reports are sent when the mark changes, as before.

--- a/packages/connection/include/kumquatvalve/connection/gate_decision.h
+++ b/packages/connection/include/kumquatvalve/connection/gate_decision.h
@@ -40,14 +40,18 @@
   /// A packet of the upstream belongs to an earlier flow from the same caller
   /// address and port; it was dropped.
   kEarlierFlow,
+  /// A first packet was delivered to the upstream, which is unresponsive, to
+  /// find out whether it responds again.
+  kTrial,
 };
 
-inline constexpr size_t kGateVerdicts = 10;
+inline constexpr size_t kGateVerdicts = 11;
 
 constexpr std::string_view Name(GateVerdict verdict) {
   constexpr std::array<std::string_view, kGateVerdicts> kNames = {
-      "admitted", "returned",     "adopted",    "probed",  "not_held",
-      "lost",     "unresponsive", "responsive", "waiting", "earlier_flow"};
+      "admitted", "returned",     "adopted",      "probed",
+      "not_held", "lost",         "unresponsive", "responsive",
+      "waiting",  "earlier_flow", "trial"};
   return kNames[static_cast<size_t>(verdict)];
 }
 
--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -13,6 +13,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "kumquatvalve/connection/admission_policy.h"
@@ -20,6 +21,7 @@
 #include "kumquatvalve/connection/identity_tracker.h"
 #include "kumquatvalve/connection/offer_decision.h"
 #include "kumquatvalve/connection/placement.h"
+#include "kumquatvalve/connection/responsiveness.h"
 #include "kumquatvalve/connection/service_time_estimate.h"
 #include "kumquatvalve/connection/waiting_flows.h"
 #include "kumquatvalve/request/flow_key.h"
@@ -56,8 +58,7 @@
       not_held_.clear();
       load_.in_progress = 0;
       load_.opening = 0;
-      first_unanswered_at_.reset();
-      load_.unresponsive = false;
+      responsiveness_.OnNewIncarnation();
       saw_all_flows_ = true;
     } else if (identity_.incarnation_ms == 0) {
       saw_all_flows_ = identity.incarnation_ms + kMaxHeadStartMs > started_ms_;
@@ -70,10 +71,20 @@
     if (load_.draining) {
       ReturnWaiting(request::ReturnReason::kDraining);
     }
+    responsiveness_.OnHeartbeat();
+    UpdateReportedResponsiveness(now);
     SendReports(now);
     AdmitWaiting(now);
   }
 
+  /// The upstream announced the same identity again.
+  void OnHeartbeat(TimePoint now) {
+    responsiveness_.OnHeartbeat();
+    if (UpdateReportedResponsiveness(now)) {
+      SendReports(now);
+    }
+  }
+
   /// The upstream has left or this process is about to stop: returns waiting
   /// first packets and all later ones.
   void StartDrain(TimePoint now) {
@@ -134,12 +145,7 @@
   /// is not in the table is added, since the upstream holds it.
   void OnUpstreamPacket(const request::ParsedPacket& packet, TimePoint now) {
     const request::FlowKey key = request::Reverse(packet.flow);
-    first_unanswered_at_.reset();
-    if (load_.unresponsive) {
-      load_.unresponsive = false;
-      RecordVerdict(GateVerdict::kResponsive, key);
-      SendReports(now);
-    }
+    NoteResponse(key, now);
     auto it = flows_.find(key);
     if (it == flows_.end()) {
       it = flows_.emplace(key, Flow()).first;
@@ -179,7 +185,7 @@
   /// to its entry instance; any other shows that the upstream does not hold the
   /// flow, which is reset when it was open here.
   void OnRejectedPacket(const request::ParsedPacket& packet, TimePoint now) {
-    first_unanswered_at_.reset();
+    NoteResponse(packet.flow, now);
     const auto it = flows_.find(packet.flow);
     if (it == flows_.end()) {
       return;
@@ -250,11 +256,6 @@
   // Time between two periodic load reports to an active entry instance, and so
   // the maximum delay with which it sees a changed load.
   static constexpr Milliseconds kReportInterval{100};
-  // An upstream responds to a first packet in less than 1 ms, even while all
-  // its slots are busy.
-  static constexpr Milliseconds kUnresponsiveTimeout{120};
-  // Time between two trial packets to an unresponsive upstream.
-  static constexpr Milliseconds kTrialInterval{400};
   static constexpr Milliseconds kSweepInterval{1000};
   static constexpr Milliseconds kOpeningFlowTtl{2000};
   static constexpr Milliseconds kEndedFlowTtl{4000};
@@ -376,12 +377,9 @@
       Return(entry, packet, request::ReturnReason::kDraining);
       return;
     }
-    if (load_.unresponsive) {
-      if (now < next_trial_at_) {
-        Return(entry, packet, request::ReturnReason::kUnresponsive);
-        return;
-      }
-      next_trial_at_ = now + kTrialInterval;
+    if (!responsiveness_.AcceptsFirstPacket(now)) {
+      Return(entry, packet, request::ReturnReason::kUnresponsive);
+      return;
     }
     const TimePoint on_time_until = OnTimeUntil(message, now);
     OfferState state = CurrentOfferState();
@@ -432,10 +430,13 @@
     admitted_.push_back({packet.flow, now});
     flows_.insert_or_assign(packet.flow, flow);
     not_held_.erase(packet.flow);
-    if (!first_unanswered_at_) {
-      first_unanswered_at_ = now;
+    const bool is_trial = responsiveness_.unresponsive();
+    responsiveness_.OnFirstPacket(now);
+    if (UpdateReportedResponsiveness(now)) {
+      SendReports(now);
     }
-    RecordVerdict(GateVerdict::kAdmitted, packet.flow);
+    RecordVerdict(is_trial ? GateVerdict::kTrial : GateVerdict::kAdmitted,
+                  packet.flow);
     sink_->Deliver(packet.bytes);
   }
 
@@ -459,9 +460,7 @@
     ExpireOpeningFlows(now);
     // The upstream may be unresponsive when its response to a first packet is
     // late.
-    const bool response_late =
-        first_unanswered_at_ &&
-        now - *first_unanswered_at_ > kFirstRequestTimeout;
+    const bool response_late = responsiveness_.IsResponseLate(now);
     while (!response_late && !waiting_.empty() &&
            HasRoom(CurrentOfferState())) {
       if (const auto it = waiting_.Pop(now)) {
@@ -709,18 +708,34 @@
     }
   }
 
-  // Marks the upstream as unresponsive when its response to a first packet is
-  // overdue, and returns the waiting first packets.
+  // The upstream sent or rejected a packet of the flow.
+  void NoteResponse(const request::FlowKey& flow, TimePoint now) {
+    if (responsiveness_.OnUpstreamPacket()) {
+      RecordVerdict(GateVerdict::kResponsive, flow);
+      UpdateReportedResponsiveness(now);
+      SendReports(now);
+    }
+  }
+
+  // Returns the waiting first packets when the upstream became unresponsive,
+  // and reports when a trial is due.
   void CheckResponsiveness(TimePoint now) {
-    if (!first_unanswered_at_ || load_.unresponsive ||
-        now - *first_unanswered_at_ < kUnresponsiveTimeout) {
-      return;
+    if (responsiveness_.CheckTimeout(now)) {
+      RecordVerdict(GateVerdict::kUnresponsive, {});
+      ReturnWaiting(request::ReturnReason::kUnresponsive);
     }
-    load_.unresponsive = true;
-    next_trial_at_ = now + kTrialInterval;
-    RecordVerdict(GateVerdict::kUnresponsive, {});
-    ReturnWaiting(request::ReturnReason::kUnresponsive);
-    SendReports(now);
+    if (UpdateReportedResponsiveness(now)) {
+      SendReports(now);
+    }
+  }
+
+  // Entry instances place no flows at an upstream that is reported as
+  // unresponsive, so one that is due for a trial is not.
+  // @return whether the report changed.
+  bool UpdateReportedResponsiveness(TimePoint now) {
+    const bool reported =
+        responsiveness_.unresponsive() && !responsiveness_.InvitesTrial(now);
+    return std::exchange(load_.unresponsive, reported) != reported;
   }
 
   void SendReports(TimePoint now) {
@@ -799,9 +814,7 @@
   std::deque<AdmittedFlow> admitted_;
   /// Moving mean of the share of admitted flows that sent a request.
   double opened_share_ = 1.0;
-  /// When the oldest first packet without a response was delivered.
-  std::optional<TimePoint> first_unanswered_at_;
-  TimePoint next_trial_at_;
+  Responsiveness responsiveness_;
   TimePoint next_sweep_at_;
 };
 
--- a/packages/connection/test/upstream_gate_test.cc
+++ b/packages/connection/test/upstream_gate_test.cc
@@ -322,6 +322,59 @@
   CHECK(f.sink.delivered == before + 2);
 }
 
+// A sidecar that is back before its upstream after a power failure: the first
+// packets that it forwards get no response.
+TEST_CASE(
+    "upstream_gate: an upstream that starts after its sidecar is offered flows "
+    "although earlier first packets got no response") {
+  Sink sink;
+  TimePoint now{std::chrono::hours(1)};
+  UpstreamGate<Sink> gate{"patio", kSidecarStart, &sink};
+  Fixture packets;
+  request::HopMessage message;
+  message.kind = HopKind::kPacket;
+  message.service = request::ServiceTagOf("patio");
+  gate.OnCallerPacket(kEntry, message, packets.CallerSyn(1), now);
+  const auto advance = [&](milliseconds time) {
+    for (const TimePoint end = now + time; now < end;) {
+      now += milliseconds(50);
+      gate.OnTick(now);
+    }
+  };
+  advance(milliseconds(900));
+  REQUIRE(sink.last(HopKind::kLoad).load.unresponsive);
+  gate.OnIdentity({"patio", "i-1", kStartedAfterSidecar, 2, false}, now);
+  // Entry instances offer no flows to an upstream with this report.
+  CHECK_FALSE(sink.last(HopKind::kLoad).load.unresponsive);
+  gate.OnCallerPacket(kEntry, message, packets.CallerSyn(2), now);
+  CHECK(sink.delivered == 2);
+  gate.OnUpstreamPacket(packets.SynAck(2), now);
+  gate.OnCallerPacket(kEntry, message, packets.CallerSyn(3), now);
+  CHECK(sink.delivered == 3);
+}
+
+// An upstream that stopped for a while and has lost its flows sends no packet
+// by itself, so nothing but a first packet can show that it responds again.
+TEST_CASE(
+    "upstream_gate: an unresponsive upstream that still sends heartbeats is "
+    "offered a trial flow") {
+  Fixture f;
+  f.ReceiveFromCaller(f.CallerSyn(1));
+  f.AdvanceTime(milliseconds(3000));
+  REQUIRE(f.sink.last(HopKind::kLoad).load.unresponsive);
+  f.AnnounceIdentity(kStartedAfterSidecar);
+  CHECK_FALSE(f.sink.last(HopKind::kLoad).load.unresponsive);
+  f.ReceiveFromCaller(f.CallerSyn(2));
+  CHECK(f.sink.decisions.back().verdict == GateVerdict::kTrial);
+  // Until the trial has a response, other flows are better placed elsewhere.
+  CHECK(f.sink.last(HopKind::kLoad).load.unresponsive);
+  f.ReceiveFromCaller(f.CallerSyn(3));
+  CHECK(f.sink.last(HopKind::kReturned).reason == ReturnReason::kUnresponsive);
+  // A rejection is a response too.
+  f.gate.OnRejectedPacket(f.CallerSyn(2), f.now);
+  CHECK_FALSE(f.sink.last(HopKind::kLoad).load.unresponsive);
+}
+
 TEST_CASE("upstream_gate: load is reported to active entry instances") {
   Fixture f;
   f.OpenFlow(1);
--- a/packages/process/include/kumquatvalve/process/sidecar_node.h
+++ b/packages/process/include/kumquatvalve/process/sidecar_node.h
@@ -139,6 +139,9 @@
     identity_.Put(std::move(identity));
   }
 
+  /// Notes that the upstream announced itself with an unchanged identity.
+  void PublishHeartbeat() { heartbeat_received_ = true; }
+
   /// True until `Stop` is called.
   bool Ready() const { return !stopping_; }
 
@@ -246,6 +249,9 @@
         gate_.StartDrain(now_);
       }
     }
+    if (heartbeat_received_.exchange(false)) {
+      gate_.OnHeartbeat(now_);
+    }
   }
 
   void ReceiveHopMessages() {
@@ -301,6 +307,7 @@
   ReceiveBatch receive_batch_;
   StatusRequest status_request_;
   Mailbox<std::optional<connection::UpstreamIdentity>> identity_;
+  std::atomic<bool> heartbeat_received_{false};
   std::atomic<bool> stopping_{false};
   Clock::time_point now_;
   Clock::time_point next_tick_at_;
