Query the sidecars of all services before a flow is taken for lost

Cause: an entry instance knew a route's earlier services only from the versions that the same process had replaced. A process that starts after the change queries the sidecars of the new service, all reply "not held", and it takes the flow for lost. Evidence: the restarted instance logged flow_lost for these flows; no sidecar of the earlier service logged a query for them.

Change: before a flow is taken for lost, FlowLocator queries the sidecars of all services, by the lists of flows when there are many searches. Upstreams of services that the address is not known to be routed to get no packet of the flow unless their sidecar replies that it holds it. Flows that are found at their own service cost nothing more.

Tests: two new cases of entry_router_test failed on the code before (an instance that started after a route got another service; many such flows, by lists) and pass now; two more hold the limits (reset only after all have replied, no probe of another service's upstreams).

--- a/packages/connection/include/kumquatvalve/connection/flow_listing.h
+++ b/packages/connection/include/kumquatvalve/connection/flow_listing.h
@@ -55,6 +55,9 @@
   /// Ends the round; its replies stay available to `ResultFor`.
   void EndRound() { running_ = false; }
 
+  /// Whether the sidecar has sent all parts of its reply in the last round.
+  bool HasReply(const request::Endpoint& sidecar) const;
+
   /// What the sidecar's list in the last round says about a flow.
   /// @param fingerprint `FlowFingerprint` of the flow.
   Result ResultFor(const request::Endpoint& sidecar,
--- a/packages/connection/include/kumquatvalve/connection/flow_locator.h
+++ b/packages/connection/include/kumquatvalve/connection/flow_locator.h
@@ -29,7 +29,8 @@
                                const request::ParsedPacket& packet,
                                std::span<const std::byte> bytes,
                                const EntryDecision& decision, TimePoint now) {
-  // The sidecars whose upstreams may hold flows to a service address.
+  // The sidecars of the services that a service address is known to be or to
+  // have been routed to. An earlier process may have known others.
   {
     host.SidecarsForAddress(endpoint)
     } -> std::same_as<std::vector<request::Endpoint>>;
@@ -54,7 +55,11 @@
 };
 
 /// Finds the holders of flows that are not in this entry instance's table, and
-/// resets flows that no upstream holds any more. Not thread-safe.
+/// resets flows that no upstream holds any more. Load pattern: a route gets
+/// another service and then the entry instances are restarted, so that none
+/// knows the service of the flows that were opened before. Before a flow is
+/// taken for lost, the sidecars of all services are therefore queried; their
+/// upstreams get no packet of it. Not thread-safe.
 template <typename H>
 class FlowLocator {
  public:
@@ -172,6 +177,7 @@
   using Milliseconds = std::chrono::milliseconds;
   using Searches = std::map<request::FlowKey, FlowSearch>;
   using SidecarList = std::vector<request::Endpoint>;
+  using Probing = FlowSearch::Probing;
 
   // A caller retransmits at most 1.6 s after its last packet, which starts
   // another search.
@@ -202,20 +208,28 @@
       return;
     }
     for (const request::Endpoint& it :
-         host_->SidecarsForAddress(packet.flow.service)) {
+         SidecarsFor(*search, packet.flow.service)) {
       if (!search->RepliedNotHeld(it)) {
         QuerySidecar(search, packet, it, now);
       }
     }
   }
 
+  // The sidecars that the search has to query.
+  SidecarList SidecarsFor(const FlowSearch& search,
+                          const request::Endpoint& address) const {
+    return search.widened() ? host_->AllSidecars()
+                            : host_->SidecarsForAddress(address);
+  }
+
   void QuerySidecar(FlowSearch* search, const request::ParsedPacket& packet,
-                    const request::Endpoint& sidecar, TimePoint now) {
+                    const request::Endpoint& sidecar, TimePoint now,
+                    Probing probing = Probing::kAllowed) {
     request::HopMessage message;
     message.kind = request::HopKind::kLocate;
     message.flow = packet.flow;
     message.acknowledgment = packet.acknowledgment;
-    search->MarkQueried(sidecar, now);
+    search->MarkQueried(sidecar, now, probing);
     host_->SendQuery(sidecar, message);
   }
 
@@ -248,6 +262,7 @@
       return;
     }
     listing_.EndRound();
+    const SidecarList all_sidecars = host_->AllSidecars();
     std::map<request::Endpoint, SidecarList> sidecars_by_address;
     for (auto it = searches_.begin(); it != searches_.end();) {
       const auto current = it++;
@@ -263,7 +278,8 @@
               : sidecars_by_address
                     .emplace(address, host_->SidecarsForAddress(address))
                     .first->second;
-      ApplyListResults(current, sidecars, now);
+      ApplyListResults(
+          current, current->second.widened() ? all_sidecars : sidecars, now);
     }
   }
 
@@ -274,29 +290,61 @@
     if (!packet) {
       return;
     }
-    const uint32_t fingerprint = request::FlowFingerprint(it->first);
     for (const request::Endpoint& sidecar : sidecars) {
-      if (search.RepliedNotHeld(sidecar)) {
+      if (!search.RepliedNotHeld(sidecar)) {
+        ApplyListResult(&search, *packet, sidecar, Probing::kAllowed, now);
+      }
+    }
+    ContinueSearch(it, now);
+  }
+
+  // Applies what the sidecar's list in the last round says about the flow.
+  void ApplyListResult(FlowSearch* search, const request::ParsedPacket& packet,
+                       const request::Endpoint& sidecar, Probing probing,
+                       TimePoint now) {
+    const uint32_t fingerprint = request::FlowFingerprint(packet.flow);
+    switch (listing_.ResultFor(sidecar, fingerprint)) {
+      case FlowListing::Result::kNoReply:
+        search->MarkQueried(sidecar, listing_.started_at(), probing);
+        break;
+      case FlowListing::Result::kMayHold:
+        QuerySidecar(search, packet, sidecar, now, probing);
+        break;
+      case FlowListing::Result::kNotHeld:
+        search->MarkQueried(sidecar, now, probing);
+        search->OnNotHeld(sidecar);
+        break;
+      case FlowListing::Result::kInconclusive:
+        search->MarkQueried(sidecar, now, probing);
+        search->OnInconclusive(sidecar);
+        break;
+    }
+  }
+
+  // Extends the search to the sidecars that it has not queried: the address may
+  // have been routed to their services before this process started.
+  void Widen(FlowSearch* search, TimePoint now) {
+    search->Widen();
+    const auto packet = host_->Parse(search->packets().front());
+    if (!packet) {
+      return;
+    }
+    const bool use_lists = searches_.size() > kMaxSearchesByQuery;
+    const bool list_is_newer =
+        !listing_.running() && listing_.started_at() >= search->started_at();
+    for (const request::Endpoint& it : host_->AllSidecars()) {
+      if (search->WasQueried(it)) {
         continue;
       }
-      switch (listing_.ResultFor(sidecar, fingerprint)) {
-        case FlowListing::Result::kNoReply:
-          search.MarkQueried(sidecar, listing_.started_at());
-          break;
-        case FlowListing::Result::kMayHold:
-          QuerySidecar(&search, *packet, sidecar, now);
-          break;
-        case FlowListing::Result::kNotHeld:
-          search.MarkQueried(sidecar, now);
-          search.OnNotHeld(sidecar);
-          break;
-        case FlowListing::Result::kInconclusive:
-          search.MarkQueried(sidecar, now);
-          search.OnInconclusive(sidecar);
-          break;
+      if (list_is_newer && listing_.HasReply(it)) {
+        ApplyListResult(search, *packet, it, Probing::kForbidden, now);
+      } else if (use_lists) {
+        search->MarkQueried(it, now, Probing::kForbidden);
+        list_pending_ = true;
+      } else {
+        QuerySidecar(search, *packet, it, now, Probing::kForbidden);
       }
     }
-    ContinueSearch(it, now);
   }
 
   // Takes the next step of a search; `it` is invalid afterwards when that ends
@@ -306,7 +354,12 @@
     const auto is_dead = [this, now](const request::Endpoint& sidecar) {
       return host_->IsPresumedDead(sidecar, now);
     };
-    switch (search.NextStep(now, is_dead)) {
+    FlowSearch::Step step = search.NextStep(now, is_dead);
+    if (step == FlowSearch::Step::kNotHeld && !search.widened()) {
+      Widen(&search, now);
+      step = search.NextStep(now, is_dead);
+    }
+    switch (step) {
       case FlowSearch::Step::kWait:
         return;
       case FlowSearch::Step::kProbe:
@@ -355,15 +408,19 @@
     if (!packet) {
       return;
     }
+    const SidecarList own = host_->SidecarsForAddress(packet->flow.service);
     for (const request::Endpoint& it :
-         host_->SidecarsForAddress(packet->flow.service)) {
+         SidecarsFor(*search, packet->flow.service)) {
       if (search->WasQueried(it)) {
         continue;
       }
+      const Probing probing = std::find(own.begin(), own.end(), it) != own.end()
+                                  ? Probing::kAllowed
+                                  : Probing::kForbidden;
       if (use_lists) {
-        search->MarkQueried(it, now);
+        search->MarkQueried(it, now, probing);
       } else {
-        QuerySidecar(search, *packet, it, now);
+        QuerySidecar(search, *packet, it, now, probing);
       }
     }
   }
@@ -374,7 +431,7 @@
       return;
     }
     for (const request::Endpoint& it :
-         host_->SidecarsForAddress(packet->flow.service)) {
+         SidecarsFor(*search, packet->flow.service)) {
       if (search->AwaitsReply(it)) {
         QuerySidecar(search, *packet, it, now);
       }
--- a/packages/connection/include/kumquatvalve/connection/flow_search.h
+++ b/packages/connection/include/kumquatvalve/connection/flow_search.h
@@ -14,10 +14,20 @@
 
 namespace kumquatvalve::connection {
 
-/// The search for the holder of one flow among the sidecars of its service.
-/// Keeps packets of the flow until the holder is found.
+/// The search for the holder of one flow: among the sidecars of the services
+/// that its address is known to be routed to and, when none of them holds the
+/// flow, among all others. Keeps packets of the flow until the holder is found.
 class FlowSearch {
  public:
+  /// Whether an upstream may get a packet of the flow to find out whether it
+  /// holds it.
+  enum class Probing {
+    kAllowed,
+    /// The upstream is not known to be of a service of the flow's address, so
+    /// only its sidecar can say that it holds the flow.
+    kForbidden,
+  };
+
   enum class Step {
     /// Replies are pending.
     kWait,
@@ -42,13 +52,18 @@
   void KeepPacket(std::span<const std::byte> packet, size_t max_packets);
 
   /// A query was sent to the sidecar at `now`. It may repeat an earlier one
-  /// whose datagram was lost.
-  void MarkQueried(const request::Endpoint& sidecar, TimePoint now);
+  /// whose datagram was lost; `probing` of the first one stays in force.
+  void MarkQueried(const request::Endpoint& sidecar, TimePoint now,
+                   Probing probing = Probing::kAllowed);
+
+  /// From now on the sidecars of all services are queried.
+  void Widen() { widened_ = true; }
+  bool widened() const { return widened_; }
 
   /// The sidecar replied that its upstream does not hold the flow.
   void OnNotHeld(const request::Endpoint& sidecar);
   /// The sidecar replied that it cannot know whether its upstream holds the
-  /// flow.
+  /// flow, which counts as not held when the upstream must not be probed.
   void OnInconclusive(const request::Endpoint& sidecar);
 
   /// What to do next. Missing replies delay probes by at most `kReplyTimeout`.
@@ -59,7 +74,7 @@
   std::vector<request::Endpoint> TakeSidecarsToProbe();
 
   bool WasQueried(const request::Endpoint& sidecar) const {
-    return states_.contains(sidecar);
+    return queries_.contains(sidecar);
   }
   bool RepliedNotHeld(const request::Endpoint& sidecar) const;
   /// Whether the reply to a query or a probe is pending.
@@ -82,10 +97,16 @@
  private:
   enum class State { kQueried, kInconclusive, kProbed, kNotHeld };
 
+  struct Query {
+    State state = State::kQueried;
+    Probing probing = Probing::kAllowed;
+  };
+
   TimePoint started_at_;
   TimePoint last_query_at_;
   bool probed_ = false;
-  std::map<request::Endpoint, State> states_;
+  bool widened_ = false;
+  std::map<request::Endpoint, Query> queries_;
   std::vector<std::vector<std::byte>> packets_;
 };
 
--- a/packages/connection/src/flow_listing.cc
+++ b/packages/connection/src/flow_listing.cc
@@ -40,10 +40,13 @@
   if (now - started_at_ >= kRoundTimeout) {
     return true;
   }
-  return std::all_of(awaited_.begin(), awaited_.end(), [this](const auto& it) {
-    const auto reply = replies_.find(it);
-    return reply != replies_.end() && reply->second.IsComplete();
-  });
+  return std::all_of(awaited_.begin(), awaited_.end(),
+                     [this](const auto& it) { return HasReply(it); });
+}
+
+bool FlowListing::HasReply(const request::Endpoint& sidecar) const {
+  const auto it = replies_.find(sidecar);
+  return it != replies_.end() && it->second.IsComplete();
 }
 
 FlowListing::Result FlowListing::ResultFor(const request::Endpoint& sidecar,
--- a/packages/connection/src/flow_search.cc
+++ b/packages/connection/src/flow_search.cc
@@ -11,21 +11,26 @@
   }
 }
 
-void FlowSearch::MarkQueried(const request::Endpoint& sidecar, TimePoint now) {
-  states_.insert_or_assign(sidecar, State::kQueried);
+void FlowSearch::MarkQueried(const request::Endpoint& sidecar, TimePoint now,
+                             Probing probing) {
+  const auto [it, inserted] =
+      queries_.try_emplace(sidecar, Query{State::kQueried, probing});
+  it->second.state = State::kQueried;
   last_query_at_ = now;
 }
 
 void FlowSearch::OnNotHeld(const request::Endpoint& sidecar) {
-  if (const auto it = states_.find(sidecar); it != states_.end()) {
-    it->second = State::kNotHeld;
+  if (const auto it = queries_.find(sidecar); it != queries_.end()) {
+    it->second.state = State::kNotHeld;
   }
 }
 
 void FlowSearch::OnInconclusive(const request::Endpoint& sidecar) {
-  const auto it = states_.find(sidecar);
-  if (it != states_.end() && it->second == State::kQueried) {
-    it->second = State::kInconclusive;
+  const auto it = queries_.find(sidecar);
+  if (it != queries_.end() && it->second.state == State::kQueried) {
+    it->second.state = it->second.probing == Probing::kAllowed
+                           ? State::kInconclusive
+                           : State::kNotHeld;
   }
 }
 
@@ -34,26 +39,27 @@
   size_t awaited = 0;
   size_t inconclusive = 0;
   size_t not_held = 0;
-  for (const auto& [sidecar, state] : states_) {
-    const bool pending = state == State::kQueried || state == State::kProbed;
+  for (const auto& [sidecar, query] : queries_) {
+    const bool pending =
+        query.state == State::kQueried || query.state == State::kProbed;
     awaited += pending && !is_dead(sidecar) ? 1 : 0;
-    inconclusive += state == State::kInconclusive ? 1 : 0;
-    not_held += state == State::kNotHeld ? 1 : 0;
+    inconclusive += query.state == State::kInconclusive ? 1 : 0;
+    not_held += query.state == State::kNotHeld ? 1 : 0;
   }
   if (inconclusive > 0) {
     const bool timed_out = now - last_query_at_ >= kReplyTimeout;
     return awaited == 0 || timed_out ? Step::kProbe : Step::kWait;
   }
   // An instance that is cut off from most sidecars cannot conclude anything.
-  const bool enough_replies = not_held > 0 && 2 * not_held >= states_.size();
+  const bool enough_replies = not_held > 0 && 2 * not_held >= queries_.size();
   return awaited == 0 && enough_replies ? Step::kNotHeld : Step::kWait;
 }
 
 std::vector<request::Endpoint> FlowSearch::TakeSidecarsToProbe() {
   std::vector<request::Endpoint> sidecars;
-  for (auto& [sidecar, state] : states_) {
-    if (state == State::kInconclusive) {
-      state = State::kProbed;
+  for (auto& [sidecar, query] : queries_) {
+    if (query.state == State::kInconclusive) {
+      query.state = State::kProbed;
       sidecars.push_back(sidecar);
     }
   }
@@ -62,18 +68,18 @@
 }
 
 bool FlowSearch::RepliedNotHeld(const request::Endpoint& sidecar) const {
-  const auto it = states_.find(sidecar);
-  return it != states_.end() && it->second == State::kNotHeld;
+  const auto it = queries_.find(sidecar);
+  return it != queries_.end() && it->second.state == State::kNotHeld;
 }
 
 bool FlowSearch::AwaitsReply(const request::Endpoint& sidecar) const {
-  const auto it = states_.find(sidecar);
-  return it != states_.end() &&
-         (it->second == State::kQueried || it->second == State::kProbed);
+  const auto it = queries_.find(sidecar);
+  return it != queries_.end() && (it->second.state == State::kQueried ||
+                                  it->second.state == State::kProbed);
 }
 
 std::optional<request::Endpoint> FlowSearch::FirstWithoutReply() const {
-  for (const auto& [sidecar, state] : states_) {
+  for (const auto& [sidecar, query] : queries_) {
     if (AwaitsReply(sidecar)) {
       return sidecar;
     }
--- a/packages/connection/test/entry_router_test.cc
+++ b/packages/connection/test/entry_router_test.cc
@@ -5,8 +5,10 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace kumquatvalve::connection {
@@ -96,12 +98,16 @@
 }
 
 struct Fixture {
-  Fixture() {
-    router.OnRoutes(Routes(1));
-    records = {Record(1, "a"), Record(2, "a"), Record(3, "b")};
+  Fixture()
+      : Fixture(Routes(1), {Record(1, "a"), Record(2, "a"), Record(3, "b")}) {}
+  Fixture(std::shared_ptr<const version::RouteMap> routes,
+          std::vector<version::UpstreamRecord> initial_records)
+      : records(std::move(initial_records)), initial_sidecars(records.size()) {
+    router.OnRoutes(std::move(routes));
     router.OnUpstreamRecords(records, now, now);
-    for (int i = 1; i <= 3; ++i) {
-      ReportLoad(i, {});
+    for (size_t i = 0; i < records.size(); ++i) {
+      ReportLoad(static_cast<int>(i) + 1, {},
+                 records[i].service.text().c_str());
     }
   }
 
@@ -153,14 +159,15 @@
     message.load.service_time_us = 30000;
     router.OnHopMessage(Record(from, "a").sidecar, message, {}, now);
   }
-  // Advances the clock in ticks. All sidecars except those in `unresponsive`
-  // send load reports.
+  // Advances the clock in ticks. All initial sidecars except those in
+  // `unresponsive` send load reports.
   void AdvanceTime(milliseconds time, const std::set<int>& unresponsive = {}) {
     for (const TimePoint end = now + time; now < end;) {
       now += milliseconds(50);
-      for (int i = 1; i <= 3; ++i) {
-        if (unresponsive.count(i) == 0) {
-          ReportLoad(i, {});
+      for (size_t i = 0; i < initial_sidecars; ++i) {
+        const int n = static_cast<int>(i) + 1;
+        if (unresponsive.count(n) == 0) {
+          ReportLoad(n, {}, records[i].service.text().c_str());
         }
       }
       router.OnTick(now);
@@ -171,6 +178,7 @@
   Sink sink;
   TimePoint now{std::chrono::hours(1)};
   std::vector<version::UpstreamRecord> records;
+  size_t initial_sidecars;
   std::vector<std::unique_ptr<std::vector<std::byte>>> bytes;
   EntryRouter<Sink> router{{request::AvailabilityZone("a"), 1000, 1}, &sink};
 };
@@ -551,6 +559,100 @@
   CHECK(f.sink.resets.empty());
 }
 
+// An entry instance that started after the address of its callers was routed to
+// another service: upstreams 1 and 2 are of the earlier one, 3 and 4 of the
+// current one.
+struct RestartedInstance : Fixture {
+  RestartedInstance()
+      : Fixture(Routes(1, "evidencia"),
+                {Record(1, "a"), Record(2, "a"), Record(3, "a", "evidencia"),
+                 Record(4, "a", "evidencia")}) {
+    now += milliseconds(1);
+  }
+
+  bool WasSent(HopKind kind, int to) const {
+    const auto found = sink.SentOfKind(kind);
+    return std::any_of(found.begin(), found.end(), [&](const Sent& it) {
+      return it.to == Record(to, "a").sidecar;
+    });
+  }
+};
+
+// Callers had their flows reset although the upstreams of the earlier service
+// held them.
+TEST_CASE(
+    "entry_router: an instance that started after a route got another service "
+    "finds the flows of the earlier one") {
+  RestartedInstance f;
+  f.ReceiveData(1);
+  f.ReceiveMessage(3, HopKind::kNotHeld, 1);
+  f.ReceiveMessage(4, HopKind::kNotHeld, 1);
+  f.router.OnUpstreamRecords(f.records, f.now, f.now);
+  CHECK(f.sink.resets.empty());
+  CHECK(f.WasSent(HopKind::kLocate, 1));
+  CHECK(f.WasSent(HopKind::kLocate, 2));
+  f.ReceiveMessage(2, HopKind::kHeld, 1);
+  REQUIRE(f.WasSent(HopKind::kPacket, 2));
+  CHECK(f.LastPacket().message.service == request::ServiceTagOf("patio"));
+  f.ReceiveData(1);
+  CHECK(f.LastPacket().to == Record(2, "a").sidecar);
+  // New flows go to the current service.
+  f.ReceiveSyn(2);
+  CHECK(f.LastPacket().message.service == request::ServiceTagOf("evidencia"));
+}
+
+TEST_CASE(
+    "entry_router: many flows of a route's earlier service are found by lists "
+    "of flows") {
+  RestartedInstance f;
+  for (uint16_t port = 1; port <= 100; ++port) {
+    f.ReceiveData(port);
+  }
+  f.now += milliseconds(100);
+  f.router.OnTick(f.now);
+  f.router.OnUpstreamRecords(f.records, f.now, f.now);
+  ReplyToList(&f, 1, {});
+  ReplyToList(&f, 2, {50});
+  ReplyToList(&f, 3, {});
+  ReplyToList(&f, 4, {});
+  // The same round of lists serves both services.
+  CHECK(f.sink.resets.size() == 99);
+  CHECK(f.sink.SentOfKind(HopKind::kLocate).back().to ==
+        Record(2, "a").sidecar);
+  f.ReceiveMessage(2, HopKind::kHeld, 50);
+  CHECK(f.LastPacket().to == Record(2, "a").sidecar);
+}
+
+TEST_CASE(
+    "entry_router: a flow that no sidecar of any service holds is reset once "
+    "all have replied") {
+  RestartedInstance f;
+  f.ReceiveData(1);
+  f.ReceiveMessage(3, HopKind::kNotHeld, 1);
+  f.ReceiveMessage(4, HopKind::kNotHeld, 1);
+  f.router.OnUpstreamRecords(f.records, f.now, f.now);
+  f.ReceiveMessage(1, HopKind::kNotHeld, 1);
+  CHECK(f.sink.resets.empty());
+  f.ReceiveMessage(2, HopKind::kNotHeld, 1);
+  CHECK(f.sink.resets.size() == 1);
+}
+
+// Guards against packets that reach an upstream of another service.
+TEST_CASE(
+    "entry_router: upstreams of a service that the address is not known to be "
+    "routed to are not probed") {
+  RestartedInstance f;
+  f.ReceiveData(1);
+  f.ReceiveMessage(3, HopKind::kNotHeld, 1);
+  f.ReceiveMessage(4, HopKind::kNotHeld, 1);
+  f.ReceiveMessage(1, HopKind::kInconclusive, 1);
+  f.ReceiveMessage(2, HopKind::kInconclusive, 1);
+  f.router.OnUpstreamRecords(f.records, f.now, f.now);
+  f.AdvanceTime(milliseconds(400));
+  CHECK(f.sink.SentOfKind(HopKind::kPacket).empty());
+  CHECK(f.sink.resets.size() == 1);
+}
+
 // Guards against refusals by an instance that has its routes but not yet its
 // upstream records.
 TEST_CASE(
