Keep the flows of a restarted upstream when its heartbeat arrives

Cause: a heartbeat with a new incarnation made the sidecar clear its flow table and conclude that it had seen every flow of that incarnation. First packets are delivered before that heartbeat, so the sidecar denied flows that the upstream held, and entry instances reset them. Evidence: the sidecar logs "upstream_changed" 1.2 s after the incarnation's start and "not_held" for each of the flows; the entry instance then logs "flow_lost".

Change: the flows stay in the table. The upstream rejects packets of the flows that died with the earlier incarnation, and the sidecar resets these, as it already does until it knows of a restart. Such flows are not counted as load until the upstream sends a packet of them. No clock is compared. Another service still removes all flows.

--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -49,16 +49,14 @@
   UpstreamGate(const UpstreamGate&) = delete;
   UpstreamGate& operator=(const UpstreamGate&) = delete;
 
-  /// The upstream announced its identity. A new incarnation removes all flows
-  /// of the previous one.
+  /// The upstream announced its identity. Flows stay in the table when that is
+  /// a new incarnation: it may have accepted some of them before its heartbeat
+  /// arrived, and rejects the packets of the others. Another service removes
+  /// all flows.
   void OnIdentity(const UpstreamIdentity& identity, TimePoint now) {
     if (identity.incarnation_ms != identity_.incarnation_ms &&
         identity_.incarnation_ms != 0) {
-      flows_.clear();
-      not_held_.clear();
-      load_.in_progress = 0;
-      load_.opening = 0;
-      responsiveness_.OnNewIncarnation();
+      OnNewIncarnation(/*same_service=*/identity.service == identity_.service);
       saw_all_flows_ = true;
     } else if (identity_.incarnation_ms == 0) {
       saw_all_flows_ = identity.incarnation_ms + kMaxHeadStartMs > started_ms_;
@@ -154,6 +152,7 @@
       RecordVerdict(GateVerdict::kAdopted, key);
     }
     Flow& flow = it->second;
+    flow.may_be_of_earlier_incarnation = false;
     if (IsOfEarlierFlow(flow, packet)) {
       RecordVerdict(GateVerdict::kEarlierFlow, key);
       return;
@@ -299,6 +298,10 @@
     /// packets.
     bool admitted = false;
     bool open = false;
+    /// The flow was added before the upstream announced its current incarnation
+    /// and the upstream has sent no packet of it since. It is forwarded, but
+    /// not counted as load.
+    bool may_be_of_earlier_incarnation = false;
     bool caller_ended = false;
     bool upstream_ended = false;
     /// A request was delivered and its response has not started.
@@ -329,6 +332,18 @@
     bool report_due = true;
   };
 
+  void OnNewIncarnation(bool same_service) {
+    for (auto& [key, flow] : flows_) {
+      ClearWork(&flow);
+      flow.may_be_of_earlier_incarnation = true;
+    }
+    if (!same_service) {
+      flows_.clear();
+    }
+    not_held_.clear();
+    responsiveness_.OnNewIncarnation();
+  }
+
   void RecordVerdict(
       GateVerdict verdict, const request::FlowKey& flow,
       request::ReturnReason reason = request::ReturnReason::kNone) {
@@ -760,7 +775,8 @@
     return static_cast<size_t>(
         std::count_if(flows_.begin(), flows_.end(), [](const auto& it) {
           const Flow& flow = it.second;
-          return flow.open && !flow.caller_ended && !flow.upstream_ended;
+          return flow.open && !flow.may_be_of_earlier_incarnation &&
+                 !flow.caller_ended && !flow.upstream_ended;
         }));
   }
 
