Read the routes again before a flow without a route is reset

The resets came from instances that were still reading the new version of the routes.

Cause: an entry instance took its routes for the newest ones as long as no call to the store had failed, and reset packets of open flows whose address they lack. Another instance had placed these flows with the new version. Evidence: both resets were logged as no_route with revision 115; the same instance published revision 116, which has the route, 0.2 s later.

Change: the watcher's time of the last complete list goes with the routes, and FlowLocator compares it with the arrival of the packet. A packet of an open flow without a route waits (verdict route_unknown), the routes are listed again at once, at most four times a second, and the flow is reset only when routes from after its packet lack the address; otherwise the search for its holder begins. First packets without a route are reset at once, as before. No sidecar is queried for a flow without a route, so requests of a removed route are not run. A configuration that cannot be read proves nothing. Store calls: one list when such a packet arrives, none else.

Tests: "an open flow of a route that was just added is found once the new routes are in force" fails with the earlier router. "an open flow without a route is not reset while a newer version of the routes may exist" set the flag that is replaced; it asserts the same order with the time of the list. A third one holds the number of reads.

--- a/packages/connection/include/kumquatvalve/connection/entry_decision.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_decision.h
@@ -41,14 +41,18 @@
   kRouteRemoved,
   /// No upstream holds the open flow any more; its caller gets a reset.
   kFlowLost,
+  /// A packet of an open flow has no route. The routes are read again before
+  /// the flow is reset, since another instance may know a newer version.
+  kRouteUnknown,
 };
 
-inline constexpr size_t kEntryVerdicts = 10;
+inline constexpr size_t kEntryVerdicts = 11;
 
 constexpr std::string_view Name(EntryVerdict verdict) {
   constexpr std::array<std::string_view, kEntryVerdicts> kNames = {
-      "placed",    "placed_again", "no_route",    "no_upstream",   "overloaded",
-      "not_taken", "located",      "not_located", "route_removed", "flow_lost"};
+      "placed",        "placed_again", "no_route",     "no_upstream",
+      "overloaded",    "not_taken",    "located",      "not_located",
+      "route_removed", "flow_lost",    "route_unknown"};
   return kNames[static_cast<size_t>(verdict)];
 }
 
@@ -86,6 +90,9 @@
   // Starts to read the upstream records from the store; the result arrives
   // through `OnUpstreamRecords`.
   sink.RefreshRecords();
+  // Starts to read the routes from the store; the result arrives through
+  // `OnRoutes`, if it is newer, and `OnRoutesComplete`.
+  sink.RefreshRoutes();
   // Asks other entry instances for records that the store may have lost;
   // `SetPeersAsked` is called with the result.
   sink.AskPeers();
--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -70,10 +70,12 @@
     return true;
   }
 
-  /// Sets whether the current routes are known to be the newest, which is the
-  /// case while they come from the store and the store responds. Initially
-  /// true.
-  void SetRoutesCurrent(bool current) { routes_current_ = current; }
+  /// The routes include every version that the store had accepted by
+  /// `complete_at`. An open flow without a route is reset only when they are at
+  /// least as new as its packet.
+  void OnRoutesComplete(TimePoint complete_at, TimePoint now) {
+    locator_.OnRoutesComplete(complete_at, now);
+  }
 
   /// Sets whether the other entry instances have been asked for records that
   /// the store may have lost before this process started. Until then no flow is
@@ -100,7 +102,7 @@
     }
     const version::Route* route = routes_->Find(packet.flow.service);
     if (route == nullptr) {
-      OnUnroutedPacket(packet);
+      OnUnroutedPacket(packet, now);
       return;
     }
     const auto it = flows_.find(packet.flow);
@@ -192,6 +194,9 @@
         const request::Endpoint& address) const {
       return router_->SidecarsForAddress(address);
     }
+    bool IsRouted(const request::Endpoint& address) const {
+      return router_->routes_->Find(address) != nullptr;
+    }
     std::vector<request::Endpoint> AllSidecars() const {
       std::vector<request::Endpoint> sidecars;
       for (const auto& [sidecar, view] : router_->upstreams_.views()) {
@@ -221,6 +226,7 @@
       return router_->sink_->Parse(packet);
     }
     void RefreshRecords() { router_->sink_->RefreshRecords(); }
+    void RefreshRoutes() { router_->sink_->RefreshRoutes(); }
     void AskPeers() { router_->sink_->AskPeers(); }
     void RecordDecision(const EntryDecision& decision) {
       router_->RecordVerdict(decision.verdict, decision.flow,
@@ -319,16 +325,19 @@
     sink_->RecordDecision(decision);
   }
 
-  void OnUnroutedPacket(const request::ParsedPacket& packet) {
+  void OnUnroutedPacket(const request::ParsedPacket& packet, TimePoint now) {
     if (packet.rst) {
       return;
     }
     const bool was_known = flows_.erase(packet.flow) != 0;
-    // A newer version may have the route of an open flow that another instance
-    // placed.
-    if (packet.IsFirst() || routes_current_) {
-      sink_->Reset(packet);
+    if (!was_known && !packet.IsFirst()) {
+      // A newer version may have the route of an open flow that another
+      // instance placed.
+      locator_.LocateHolder(packet, now);
+      return;
     }
+    locator_.Forget(packet.flow);
+    sink_->Reset(packet);
     RecordVerdict(
         was_known ? EntryVerdict::kRouteRemoved : EntryVerdict::kNoRoute,
         packet.flow, nullptr);
@@ -637,7 +646,6 @@
   uint64_t random_;
   S* sink_;
   std::shared_ptr<const version::RouteMap> routes_;
-  bool routes_current_ = true;
   /// Services that replaced versions of the routes had for an address.
   std::map<request::Endpoint, std::vector<request::ServiceTag>>
       earlier_services_;
--- a/packages/connection/include/kumquatvalve/connection/flow_locator.h
+++ b/packages/connection/include/kumquatvalve/connection/flow_locator.h
@@ -35,6 +35,8 @@
     host.SidecarsForAddress(endpoint)
     } -> std::same_as<std::vector<request::Endpoint>>;
   { host.AllSidecars() } -> std::same_as<std::vector<request::Endpoint>>;
+  // Whether the routes in force have the service address.
+  { host.IsRouted(endpoint) } -> std::same_as<bool>;
   { host.IsPresumedDead(endpoint, now) } -> std::same_as<bool>;
   // Sends a message without a packet to a sidecar.
   host.SendQuery(endpoint, message);
@@ -48,6 +50,9 @@
   // Starts to read the upstream records from the store; `OnRecords` is called
   // with the result.
   host.RefreshRecords();
+  // Starts to read the routes from the store; `OnRoutesComplete` is called with
+  // the result.
+  host.RefreshRoutes();
   // Starts to ask other entry instances for their records; `SetPeersAsked` is
   // called with the result.
   host.AskPeers();
@@ -67,9 +72,11 @@
   explicit FlowLocator(H* host) : host_(host) {}
 
   /// Starts or continues the search for the holder of a packet's flow. A packet
-  /// that would start a search beyond `kMaxSearches` is dropped. A flow that is
-  /// known to be lost is not searched for: its packets with payload are
-  /// answered with a reset, the others are dropped.
+  /// that would start a search beyond `kMaxSearches` is dropped. While no route
+  /// has the flow's address, the search waits until the routes are at least as
+  /// new as the packet, and the flow is reset if they still lack the address. A
+  /// flow that is known to be lost is not searched for: its packets with
+  /// payload are answered with a reset, the others are dropped.
   void LocateHolder(const request::ParsedPacket& packet, TimePoint now) {
     if (lost_flows_.contains(packet.flow)) {
       ResetLostFlow(packet);
@@ -84,6 +91,13 @@
       searches_.erase(it);
       return;
     }
+    if (!host_->IsRouted(packet.flow.service)) {
+      if (inserted) {
+        RecordVerdict(EntryVerdict::kRouteUnknown, packet.flow, std::nullopt);
+      }
+      RequestRoutes(now);
+      return;
+    }
     if (inserted || now - search.last_query_at() >= FlowSearch::kReplyTimeout) {
       QueryCandidates(&search, packet, now);
     }
@@ -150,6 +164,14 @@
     ContinueSearches(now);
   }
 
+  /// The routes changed or were read again.
+  /// @param complete_at they include every version that the store had accepted
+  ///   by this time.
+  void OnRoutesComplete(TimePoint complete_at, TimePoint now) {
+    routes_complete_at_ = std::max(routes_complete_at_, complete_at);
+    ContinueSearches(now);
+  }
+
   /// Sets whether the other entry instances have been asked for their records
   /// since this process started, or need not be asked. Until then no flow is
   /// taken for lost. Initially true.
@@ -168,6 +190,9 @@
     if (refresh_pending_) {
       RequestRecords(now);
     }
+    if (routes_refresh_pending_) {
+      RequestRoutes(now);
+    }
     absl::erase_if(lost_flows_, [&](const auto& it) {
       return now - it.second > kLostFlowTtl;
     });
@@ -192,8 +217,8 @@
   static constexpr size_t kMaxSearchesByQuery = 8;
   // Minimum time between the starts of two rounds of lists.
   static constexpr Milliseconds kListInterval{100};
-  // Minimum time between two reads of the upstream records while flows that no
-  // sidecar holds wait for newer records.
+  // Minimum time between two reads of the upstream records, or of the routes,
+  // while flows wait for newer ones.
   static constexpr Milliseconds kRefreshInterval{250};
   // A caller whose flow was reset sends no more packets.
   static constexpr Milliseconds kLostFlowTtl{4000};
@@ -215,9 +240,13 @@
     }
   }
 
-  // The sidecars that the search has to query.
+  // The sidecars that the search has to query. None while the address has no
+  // route: a flow of a removed route must not be forwarded.
   SidecarList SidecarsFor(const FlowSearch& search,
                           const request::Endpoint& address) const {
+    if (!host_->IsRouted(address)) {
+      return {};
+    }
     return search.widened() ? host_->AllSidecars()
                             : host_->SidecarsForAddress(address);
   }
@@ -271,6 +300,9 @@
         continue;
       }
       const request::Endpoint& address = current->first.service;
+      if (!host_->IsRouted(address)) {
+        continue;
+      }
       const auto cached = sidecars_by_address.find(address);
       const SidecarList& sidecars =
           cached != sidecars_by_address.end()
@@ -351,6 +383,10 @@
   // the search.
   void ContinueSearch(typename Searches::iterator it, TimePoint now) {
     FlowSearch& search = it->second;
+    if (!host_->IsRouted(it->first.service)) {
+      ContinueWithoutRoute(it, now);
+      return;
+    }
     const auto is_dead = [this, now](const request::Endpoint& sidecar) {
       return host_->IsPresumedDead(sidecar, now);
     };
@@ -378,9 +414,11 @@
   // `kSearchTimeout`.
   void ContinueSearches(TimePoint now) {
     const bool use_lists = searches_.size() > kMaxSearchesByQuery;
+    bool any_routed = false;
     for (auto it = searches_.begin(); it != searches_.end();) {
       const auto current = it++;
       FlowSearch& search = current->second;
+      any_routed = any_routed || host_->IsRouted(current->first.service);
       if (now - search.started_at() >= kSearchTimeout) {
         RecordVerdict(EntryVerdict::kNotLocated, current->first,
                       search.FirstWithoutReply());
@@ -395,7 +433,7 @@
         RepeatQueries(&remaining->second, now);
       }
     }
-    if (use_lists) {
+    if (use_lists && any_routed) {
       RequestLists(now);
     }
   }
@@ -458,15 +496,36 @@
       host_->AskPeers();
       return;
     }
-    if (lost_flows_.size() < kMaxLostFlows) {
-      lost_flows_[it->first] = now;
-    }
+    AddLostFlow(it->first, now);
     searches_.erase(it);
     if (const auto packet = host_->Parse(bytes)) {
       ResetLostFlow(*packet);
     }
   }
 
+  // Resets the flow when its address has no route in routes that are at least
+  // as new as the flow's packet; until then a newer version may have the route.
+  void ContinueWithoutRoute(typename Searches::iterator it, TimePoint now) {
+    if (routes_complete_at_ < it->second.started_at()) {
+      RequestRoutes(now);
+      return;
+    }
+    const auto packet = host_->Parse(it->second.packets().front());
+    AddLostFlow(it->first, now);
+    searches_.erase(it);
+    if (packet) {
+      host_->Reset(*packet);
+      RecordVerdict(EntryVerdict::kNoRoute, packet->flow, std::nullopt);
+    }
+  }
+
+  // Packets of the flow are reset without another search for a while.
+  void AddLostFlow(const request::FlowKey& flow, TimePoint now) {
+    if (lost_flows_.size() < kMaxLostFlows) {
+      lost_flows_[flow] = now;
+    }
+  }
+
   // Empty when the search has no packet with payload.
   std::vector<std::byte> FirstPacketWithPayload(const FlowSearch& search) {
     for (const std::vector<std::byte>& bytes : search.packets()) {
@@ -494,6 +553,14 @@
     }
   }
 
+  void RequestRoutes(TimePoint now) {
+    routes_refresh_pending_ = now < next_routes_refresh_at_;
+    if (!routes_refresh_pending_) {
+      next_routes_refresh_at_ = now + kRefreshInterval;
+      host_->RefreshRoutes();
+    }
+  }
+
   // Passes on a decision for logs and counters.
   // @param sidecar a sidecar whose reply is missing, if any.
   void RecordVerdict(EntryVerdict verdict, const request::FlowKey& flow,
@@ -519,6 +586,10 @@
   bool peers_asked_ = true;
   bool refresh_pending_ = false;
   TimePoint next_refresh_at_;
+  /// The routes include every version that the store had accepted by this time.
+  TimePoint routes_complete_at_;
+  bool routes_refresh_pending_ = false;
+  TimePoint next_routes_refresh_at_;
   TimePoint next_check_at_;
 };
 
--- a/packages/connection/test/entry_router_test.cc
+++ b/packages/connection/test/entry_router_test.cc
@@ -46,6 +46,7 @@
     return packets.at(static_cast<size_t>(packet.front()));
   }
   void RefreshRecords() { ++record_reads; }
+  void RefreshRoutes() { ++route_reads; }
   void AskPeers() { ++peer_queries; }
   void RemoveRecord(const version::UpstreamRecord& record) {
     removed.push_back(record.sidecar);
@@ -68,6 +69,7 @@
   std::vector<EntryVerdict> verdicts;
   EntryDecision last_decision;
   int record_reads = 0;
+  int route_reads = 0;
   int peer_queries = 0;
   std::vector<request::Endpoint> removed;
 };
@@ -132,13 +134,20 @@
     packet.acknowledgment = acknowledgment;
     ReceivePacket(packet);
   }
-  void ReceiveData(uint16_t port) {
+  request::ParsedPacket MakeData(uint16_t port) {
     auto packet = MakePacket(port);
     packet.ack = true;
     packet.acknowledgment = 501;
     packet.payload_size = 100;
-    ReceivePacket(packet);
+    return packet;
+  }
+  // A packet of an open flow to an address that the routes lack.
+  request::ParsedPacket UnroutedData(uint16_t port) {
+    auto packet = MakeData(port);
+    packet.flow.service.port = 444;
+    return packet;
   }
+  void ReceiveData(uint16_t port) { ReceivePacket(MakeData(port)); }
   void ReceiveMessage(int from, HopKind kind, uint16_t port = 0,
                       ReturnReason reason = ReturnReason::kNone,
                       std::vector<std::byte> packet = {}) {
@@ -227,23 +236,81 @@
     "entry_router: an open flow without a route is not reset while a newer "
     "version of the routes may exist") {
   Fixture f;
-  f.router.SetRoutesCurrent(false);
-  auto packet = f.MakePacket(1);
-  packet.flow.service.port = 444;
-  packet.ack = true;
-  packet.payload_size = 100;
-  f.ReceivePacket(packet);
+  f.now += milliseconds(1);
+  f.ReceivePacket(f.UnroutedData(1));
   CHECK(f.sink.resets.empty());
+  CHECK(f.sink.verdicts.back() == EntryVerdict::kRouteUnknown);
+  CHECK(f.sink.route_reads == 1);
   // A caller whose first packet is reset retries, perhaps at another instance.
-  packet.ack = false;
-  packet.syn = true;
-  f.ReceivePacket(packet);
+  auto first = f.UnroutedData(2);
+  first.ack = false;
+  first.syn = true;
+  f.ReceivePacket(first);
   CHECK(f.sink.resets.size() == 1);
-  f.router.SetRoutesCurrent(true);
-  packet.syn = false;
-  packet.ack = true;
-  f.ReceivePacket(packet);
+  // Routes that were read before the packet arrived prove nothing.
+  f.router.OnRoutesComplete(f.now - milliseconds(1), f.now);
+  CHECK(f.sink.resets.size() == 1);
+  f.router.OnRoutesComplete(f.now, f.now);
   CHECK(f.sink.resets.size() == 2);
+  CHECK(f.sink.verdicts.back() == EntryVerdict::kNoRoute);
+  // The flow's further packets are reset without another read.
+  f.ReceivePacket(f.UnroutedData(1));
+  CHECK(f.sink.resets.size() == 3);
+  CHECK(f.sink.route_reads == 1);
+}
+
+// An instance whose link needs some tenths of a second for a new version of the
+// routes reset the flows that others had placed on a route that was just added.
+TEST_CASE(
+    "entry_router: an open flow of a route that was just added is found once "
+    "the new routes are in force") {
+  Fixture f;
+  f.now += milliseconds(1);
+  f.ReceivePacket(f.UnroutedData(1));
+  f.ReceivePacket(f.UnroutedData(1));
+  f.AdvanceTime(milliseconds(300));
+  CHECK(f.sink.resets.empty());
+  CHECK(f.sink.SentOfKind(HopKind::kLocate).empty());
+  auto routes = Routes(2);
+  routes->routes[f.UnroutedData(1).flow.service] =
+      routes->routes.at(kServiceAddress);
+  f.router.OnRoutes(routes);
+  f.AdvanceTime(milliseconds(200));
+  CHECK(f.sink.SentOfKind(HopKind::kLocate).size() >= 3);
+  request::HopMessage held;
+  held.kind = HopKind::kHeld;
+  held.flow = f.UnroutedData(1).flow;
+  f.router.OnHopMessage(Record(2, "a").sidecar, held, {}, f.now);
+  CHECK(f.sink.resets.empty());
+  CHECK(f.sink.SentOfKind(HopKind::kPacket).size() == 2);
+  CHECK(f.LastPacket().to == Record(2, "a").sidecar);
+}
+
+// Guards against a read of the whole configuration for each flow of a route
+// that was removed before this instance started, and against requests that are
+// still run there.
+TEST_CASE(
+    "entry_router: one read of the routes serves many flows without a route, "
+    "and no sidecar is queried for them") {
+  Fixture f;
+  f.now += milliseconds(1);
+  for (uint16_t port = 1; port <= 100; ++port) {
+    f.ReceivePacket(f.UnroutedData(port));
+  }
+  f.now += milliseconds(100);
+  f.router.OnTick(f.now);
+  f.router.OnUpstreamRecords(f.records, f.now, f.now);
+  CHECK(f.sink.route_reads == 1);
+  f.router.OnRoutesComplete(f.now, f.now);
+  CHECK(f.sink.resets.size() == 100);
+  CHECK(f.sink.SentOfKind(HopKind::kLocate).empty());
+  CHECK(f.sink.SentOfKind(HopKind::kList).empty());
+  // A later flow waits for the next read.
+  f.now += milliseconds(1);
+  f.ReceivePacket(f.UnroutedData(200));
+  CHECK(f.sink.route_reads == 1);
+  f.AdvanceTime(milliseconds(300));
+  CHECK(f.sink.route_reads == 2);
 }
 
 TEST_CASE("entry_router: an older version of the routes is ignored") {
--- a/packages/process/include/kumquatvalve/process/entry_knowledge.h
+++ b/packages/process/include/kumquatvalve/process/entry_knowledge.h
@@ -65,7 +65,8 @@
   /// Applies a configuration that the store or a peer returned. One that is not
   /// newer than the current one is ignored; an unreadable one is logged and the
   /// current one stays in force.
-  void OnConfiguration(const StoredObject& object);
+  /// @return whether the routes in force are at least as new as the object.
+  bool OnConfiguration(const StoredObject& object);
 
   /// Replaces the records with a full list from the store. Records that cannot
   /// be read, or that are stored under another sidecar's path, are logged once
--- a/packages/process/include/kumquatvalve/process/entry_node.h
+++ b/packages/process/include/kumquatvalve/process/entry_node.h
@@ -37,6 +37,8 @@
     std::function<void()> on_pause;
     /// Lists the upstream records in the store again at once.
     std::function<void()> refresh_records;
+    /// Lists the routes in the store again at once.
+    std::function<void()> refresh_routes;
     /// Asks the other entry instances for their records, once; the answer is
     /// `PublishPeersAsked`.
     std::function<void()> ask_peers;
@@ -88,6 +90,7 @@
     return F::Parse(packet, &failure);
   }
   void RefreshRecords() { requests_.refresh_records(); }
+  void RefreshRoutes() { requests_.refresh_routes(); }
   void AskPeers() { requests_.ask_peers(); }
   void RemoveRecord(const version::UpstreamRecord& record) {
     requests_.remove_record(record);
@@ -170,8 +173,11 @@
   /// sent were published.
   void PublishPeersAsked(bool asked) { peers_asked_ = asked; }
 
-  /// Sets whether the published routes are known to be the newest in the store.
-  void PublishRoutesState(bool current) { routes_current_ = current; }
+  /// The published routes include every version that the store had accepted by
+  /// `complete_at`. To be called after these routes were published.
+  void PublishRoutesComplete(Clock::time_point complete_at) {
+    routes_complete_at_.Put(complete_at);
+  }
 
   /// Whether the instance can route packets: it has routes and upstream records
   /// and is not stopping.
@@ -298,11 +304,15 @@
   }
 
   void ApplyPublishedUpdates() {
-    router_.SetRoutesCurrent(routes_current_);
     router_.SetPeersAsked(peers_asked_);
+    // Taken before the routes, which were published first.
+    const auto routes_complete_at = routes_complete_at_.Take();
     if (auto routes = routes_.Take()) {
       router_.OnRoutes(std::move(*routes));
     }
+    if (routes_complete_at) {
+      router_.OnRoutesComplete(*routes_complete_at, now_);
+    }
     if (const auto it = upstreams_.Take()) {
       router_.OnUpstreamRecords(it->records, it->complete_at, now_);
     }
@@ -348,11 +358,11 @@
   StatusRequest status_request_;
   PauseDetector pause_detector_;
   Mailbox<std::shared_ptr<const version::RouteMap>> routes_;
+  Mailbox<Clock::time_point> routes_complete_at_;
   Mailbox<Upstreams> upstreams_;
   std::atomic<bool> has_routes_{false};
   std::atomic<bool> has_upstreams_{false};
   std::atomic<bool> store_answers_{true};
-  std::atomic<bool> routes_current_{false};
   std::atomic<bool> peers_asked_{true};
   std::atomic<bool> stopping_{false};
   Clock::time_point now_;
--- a/packages/process/src/entry_knowledge.cc
+++ b/packages/process/src/entry_knowledge.cc
@@ -8,17 +8,17 @@
                                const Logger* logger)
     : codec_(std::move(codec)), outputs_(std::move(outputs)), logger_(logger) {}
 
-void EntryKnowledge::OnConfiguration(const StoredObject& object) {
+bool EntryKnowledge::OnConfiguration(const StoredObject& object) {
   const std::lock_guard lock(mutex_);
   if (configuration_ && object.version <= configuration_->version) {
-    return;
+    return true;
   }
   std::string skipped;
   request::Failure failure;
   auto map = codec_.read_configuration(object, &skipped, &failure);
   if (!map) {
     LogUnreadable("cannot read the configuration", object.path, failure);
-    return;
+    return false;
   }
   if (!skipped.empty()) {
     LogUnreadable("skipped unreadable parts of the configuration", object.path,
@@ -30,6 +30,7 @@
                 {"routes", std::to_string(map->routes.size())}});
   configuration_ = object;
   outputs_.routes(std::make_shared<const version::RouteMap>(std::move(*map)));
+  return true;
 }
 
 void EntryKnowledge::OnStoredRecords(
--- a/packages/process/test/entry_knowledge_test.cc
+++ b/packages/process/test/entry_knowledge_test.cc
@@ -123,8 +123,9 @@
     "entry_knowledge: an unreadable configuration leaves the previous one in "
     "force") {
   Fixture f;
-  f.knowledge.OnConfiguration({"config/main", {7}, "3"});
-  f.knowledge.OnConfiguration({"config/main", {8}, "bad"});
+  CHECK(f.knowledge.OnConfiguration({"config/main", {7}, "3"}));
+  // Flows without a route must not be taken for flows of a removed one.
+  CHECK_FALSE(f.knowledge.OnConfiguration({"config/main", {8}, "bad"}));
   CHECK(f.versions == std::vector<uint64_t>{3});
   CHECK(f.knowledge.Snapshot(kNow).configuration->version.value == 7);
 }
