Ask the store's record whether a sidecar has seen every flow

Cause: a sidecar that started less than a second after its upstream concluded that no earlier process had admitted flows to it, and denied those of its predecessor. That holds when a machine boots, not when the sidecar alone is restarted.

Change: the sidecar's first read of its record, which it makes before its first write anyway, goes to the gate. A record of the same incarnation means that an earlier process served it, also when a clock step makes the upstream look younger than the sidecar. While the store was not read, an upstream that started first proves nothing. The rule for machines that boot stays, as its test demands. No further store calls.

Tests: two new cases of upstream_gate_test and one of record_keeper_test. "a sidecar that started shortly after its upstream has seen every flow" now gets the record that a machine has when it boots, and asserts the same.

--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -57,9 +57,6 @@
     if (identity.incarnation_ms != identity_.incarnation_ms &&
         identity_.incarnation_ms != 0) {
       OnNewIncarnation(/*same_service=*/identity.service == identity_.service);
-      saw_all_flows_ = true;
-    } else if (identity_.incarnation_ms == 0) {
-      saw_all_flows_ = identity.incarnation_ms + kMaxHeadStartMs > started_ms_;
     }
     identity_ = identity;
     tag_ = request::ServiceTagOf(identity.service);
@@ -75,6 +72,13 @@
     AdmitWaiting(now);
   }
 
+  /// The sidecar's record was read from the store before this process wrote it.
+  /// @param incarnation_ms of the upstream that an earlier process of this
+  ///   sidecar recorded; 0 when there is no record.
+  void OnStoredIncarnation(uint64_t incarnation_ms) {
+    stored_incarnation_ms_ = incarnation_ms;
+  }
+
   /// The upstream announced the same identity again.
   void OnHeartbeat(TimePoint now) {
     responsiveness_.OnHeartbeat();
@@ -266,9 +270,9 @@
   // no longer counts as expected work: its caller has left or opened the flow
   // at another upstream.
   static constexpr Milliseconds kFirstRequestTimeout{30};
-  // An upstream that started at most this long (ms) before this process got no
-  // flows through an earlier sidecar process: that one would have had to start,
-  // register, end and be replaced within this time.
+  // An upstream that started at most this long (ms) before this process, as
+  // when a machine boots, got no flows through an earlier sidecar process
+  // unless that one recorded it.
   static constexpr uint64_t kMaxHeadStartMs = 1000;
   // A request without a response after this time will get none: its caller gave
   // up in the middle of an upload, or the response was lost with an earlier
@@ -332,6 +336,16 @@
     bool report_due = true;
   };
 
+  // Whether this process has seen every flow of the upstream's current
+  // incarnation, so that the upstream holds no others.
+  bool SawAllFlows() const {
+    if (!stored_incarnation_ms_) {
+      return identity_.incarnation_ms >= started_ms_;
+    }
+    return identity_.incarnation_ms != *stored_incarnation_ms_ &&
+           identity_.incarnation_ms + kMaxHeadStartMs > started_ms_;
+  }
+
   void OnNewIncarnation(bool same_service) {
     for (auto& [key, flow] : flows_) {
       ClearWork(&flow);
@@ -525,7 +539,7 @@
   // the packet to find out. The upstream's reaction decides on the reply.
   void OnUnknownFlow(const request::Endpoint& entry,
                      const request::ParsedPacket& packet, TimePoint now) {
-    if (saw_all_flows_ || not_held_.contains(packet.flow)) {
+    if (SawAllFlows() || not_held_.contains(packet.flow)) {
       ReplyNotHeld(entry, packet.flow);
       return;
     }
@@ -549,7 +563,7 @@
     const auto it = flows_.find(message.flow);
     if (it == flows_.end() || it->second.probed_by) {
       SendLocateReply(entry,
-                      saw_all_flows_ || not_held_.contains(message.flow)
+                      SawAllFlows() || not_held_.contains(message.flow)
                           ? request::HopKind::kNotHeld
                           : request::HopKind::kInconclusive,
                       message.flow);
@@ -578,7 +592,7 @@
     reply.kind = request::HopKind::kFlows;
     reply.service = tag_;
     reply.list.round = query.list.round;
-    reply.list.inconclusive = query.service == tag_ && !saw_all_flows_;
+    reply.list.inconclusive = query.service == tag_ && !SawAllFlows();
     reply.list.parts = static_cast<uint16_t>(std::max<size_t>(
         1, (fingerprints.size() + request::kMaxFingerprintsPerDatagram - 1) /
                request::kMaxFingerprintsPerDatagram));
@@ -816,8 +830,8 @@
   S* sink_;
   request::UpstreamLoad load_;
   ServiceTimeEstimate service_time_;
-  /// This process has seen every flow of the upstream's current incarnation.
-  bool saw_all_flows_ = false;
+  /// See `OnStoredIncarnation`; empty until then.
+  std::optional<uint64_t> stored_incarnation_ms_;
   absl::flat_hash_map<request::FlowKey, Flow, request::FlowKeyHash> flows_;
   /// Flows that the upstream rejected, with the time of the rejection.
   absl::flat_hash_map<request::FlowKey, TimePoint, request::FlowKeyHash>
--- a/packages/connection/test/upstream_gate_test.cc
+++ b/packages/connection/test/upstream_gate_test.cc
@@ -662,12 +662,47 @@
     "upstream_gate: a sidecar that started shortly after its upstream has seen "
     "every flow") {
   Fixture f(kSidecarStart - 500);
+  // The store has the upstream from before the power failure.
+  f.gate.OnStoredIncarnation(kStartedBeforeSidecar);
   f.QueryHolder(1);
   CHECK(f.sink.count(HopKind::kNotHeld) == 1);
   f.ReceiveFromCaller(f.CallerData(1));
   CHECK(f.sink.delivered == 0);
 }
 
+// A sidecar that was stopped and started within a second after its upstream's
+// start denied the flows that its predecessor had admitted.
+TEST_CASE(
+    "upstream_gate: a sidecar whose predecessor recorded the upstream has not "
+    "seen every flow") {
+  // With the sidecar's clock stepped back the upstream seems to be the later
+  // one.
+  for (const uint64_t start : {kSidecarStart - 500, kStartedAfterSidecar}) {
+    Fixture f(start);
+    f.gate.OnStoredIncarnation(start);
+    f.QueryHolder(1);
+    CHECK(f.sink.count(HopKind::kInconclusive) == 1);
+    CHECK(f.sink.count(HopKind::kNotHeld) == 0);
+    f.ReceiveFromCaller(f.CallerData(1));
+    CHECK(f.sink.delivered == 1);
+    // It has seen those of a later incarnation.
+    f.AnnounceIdentity(kStartedAfterSidecar + 5000);
+    f.QueryHolder(2);
+    CHECK(f.sink.count(HopKind::kNotHeld) == 1);
+  }
+}
+
+TEST_CASE(
+    "upstream_gate: a sidecar that started shortly after its upstream draws no "
+    "conclusion before the store was read") {
+  Fixture f(kSidecarStart - 500);
+  f.QueryHolder(1);
+  CHECK(f.sink.count(HopKind::kInconclusive) == 1);
+  f.gate.OnStoredIncarnation(0);
+  f.QueryHolder(1);
+  CHECK(f.sink.count(HopKind::kNotHeld) == 1);
+}
+
 TEST_CASE("upstream_gate: the upstream is probed only once about a flow") {
   Fixture f(kStartedBeforeSidecar);
   f.ReceiveFromCaller(f.CallerData(1));
--- a/packages/process/include/kumquatvalve/process/record_keeper.h
+++ b/packages/process/include/kumquatvalve/process/record_keeper.h
@@ -32,6 +32,8 @@
     /// The object was read before a write. The function may change the desired
     /// state, which is then used instead. May be empty.
     std::function<void(const std::string& body)> found;
+    /// The object was read before a write and does not exist. May be empty.
+    std::function<void()> absent;
   };
 
   /// `api` must outlive the keeper.
@@ -143,6 +145,8 @@
       }
       if (stored_version_ && listener_.found) {
         listener_.found(stored_body_);
+      } else if (!stored_version_ && listener_.absent) {
+        listener_.absent();
       }
       if (!IsDesired(body)) {
         *failure = {request::ResultCode::kConflict, "no longer desired"};
--- a/packages/process/include/kumquatvalve/process/sidecar_node.h
+++ b/packages/process/include/kumquatvalve/process/sidecar_node.h
@@ -139,6 +139,12 @@
     identity_.Put(std::move(identity));
   }
 
+  /// Hands over what the store's record said before this process wrote it; see
+  /// `UpstreamGate::OnStoredIncarnation`.
+  void PublishStoredIncarnation(uint64_t incarnation_ms) {
+    stored_incarnation_ms_.Put(incarnation_ms);
+  }
+
   /// Notes that the upstream announced itself with an unchanged identity.
   void PublishHeartbeat() { heartbeat_received_ = true; }
 
@@ -249,6 +255,9 @@
         gate_.StartDrain(now_);
       }
     }
+    if (const auto it = stored_incarnation_ms_.Take()) {
+      gate_.OnStoredIncarnation(*it);
+    }
     if (heartbeat_received_.exchange(false)) {
       gate_.OnHeartbeat(now_);
     }
@@ -307,6 +316,7 @@
   ReceiveBatch receive_batch_;
   StatusRequest status_request_;
   Mailbox<std::optional<connection::UpstreamIdentity>> identity_;
+  Mailbox<uint64_t> stored_incarnation_ms_;
   std::atomic<bool> heartbeat_received_{false};
   std::atomic<bool> stopping_{false};
   Clock::time_point now_;
--- a/packages/process/test/record_keeper_test.cc
+++ b/packages/process/test/record_keeper_test.cc
@@ -6,6 +6,7 @@
 #include <map>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "kumquatvalve/process/record_remover.h"
 
@@ -143,8 +144,10 @@
              if (on_found) {
                on_found(body);
              }
-           }},
+           },
+       .absent = [this] { writes_when_absent.push_back(store.writes); }},
       1};
+  std::vector<int> writes_when_absent;
   std::function<void(const std::string&)> on_found;
 };
 
@@ -208,6 +211,16 @@
   CHECK(f.store.writes == 0);
 }
 
+// What an earlier process wrote cannot be told from what this one wrote, except
+// by the first read.
+TEST_CASE(
+    "record_keeper: an absent object is reported before the first write") {
+  Fixture f;
+  f.store.faults = {FakeStore::Fault::kUnavailable};
+  f.RunUntilInSync("a");
+  CHECK(f.writes_when_absent == std::vector{0});
+}
+
 // A sidecar that was wrongly presumed dead may have written a new record
 // meanwhile, which must stay.
 TEST_CASE("record_remover: only an unchanged record is removed") {
