--- a/packages/version/test/history_checker_test.cc
+++ b/packages/version/test/history_checker_test.cc
@@ -59,6 +59,21 @@
   return kinds;
 }
 
+// One of two deletions with an unknown outcome took effect; the other one,
+// which was recorded later, expected an older version.
+TEST_CASE(
+    "history_checker: a deleted version is assigned to the deletion that "
+    "expected the replaced one") {
+  std::vector<HistoryOperation> history = {
+      Write(1, 2, "x", 0, 1), Write(3, 4, "y", 1, 2),
+      Delete(5, 7, 2, 0, Outcome::kUnknown),
+      Delete(3, 8, 1, 0, Outcome::kUnknown), Apply(9, "", 3)};
+  CHECK(ViolationKinds(history).empty());
+  // Without the one that fits, the order of writes is violated.
+  history.erase(history.begin() + 2);
+  CHECK(ViolationKinds(history) == std::set{ViolationKind::kLostUpdate});
+}
+
 // Guards against false alarms: linearizable histories must have no violations.
 TEST_CASE("history_checker: linearizable histories have no violations") {
   const std::vector<std::vector<HistoryOperation>> histories = {
