Do not repeat a creation that another operator may have removed

Cause: a creation has no version to compare, so the second attempt took effect as well. The doc comment said that this cannot happen.

Change: a creation is sent again only when the store shows that nothing was created or removed at its path since the list that it is based on: by the same revision, or by a history up to the current one without the path. Otherwise the outcome is reported as unknown (E406). The comment says what holds now.

--- a/packages/process/include/kumquatvalve/process/service_editor.h
+++ b/packages/process/include/kumquatvalve/process/service_editor.h
@@ -1,6 +1,8 @@
 #ifndef KUMQUATVALVE_PROCESS_SERVICE_EDITOR_H_
 #define KUMQUATVALVE_PROCESS_SERVICE_EDITOR_H_
 
+#include <algorithm>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <optional>
@@ -26,8 +28,10 @@
 ///
 /// Each change carries an operation id. When the response to a write is lost,
 /// the object is read back: if it names the operation, the change is reported
-/// as accepted. Otherwise the same conditional write is sent again; it cannot
-/// take effect twice because the first one changes the version.
+/// as accepted. Otherwise the same conditional write is sent again. A change
+/// cannot take effect twice, because the first one changes the version. A
+/// creation could, after another operator removed the service, so it is sent
+/// again only when the store's history shows that the path has not changed.
 ///
 /// @tparam A an `ObjectApi`.
 template <ObjectApi A>
@@ -39,36 +43,23 @@
   /// before the next attempt; returns false to give up.
   using Wait = std::function<bool(const request::Failure&)>;
 
+  /// Services with their versions.
+  using Services =
+      std::map<version::ServicePath,
+               std::pair<request::TableVersion, version::StoredService>>;
+
   /// @param team team whose subtree may be changed.
   ServiceEditor(A* api, request::TeamName team, Wait wait)
       : api_(*api), team_(std::move(team)), wait_(std::move(wait)) {}
 
   /// Lists all services in the store with their versions; skips those that
   /// cannot be parsed.
-  std::optional<
-      std::map<version::ServicePath,
-               std::pair<request::TableVersion, version::StoredService>>>
-  List(request::Failure* failure) {
-    const auto list = Retry<ObjectList>(
-        [&](request::Failure* reason) {
-          return api_.List(std::string(version::kTeamsPrefix), reason);
-        },
-        failure);
+  std::optional<Services> List(request::Failure* failure) {
+    const auto list = ListObjects(failure);
     if (!list) {
       return std::nullopt;
     }
-    std::map<version::ServicePath,
-             std::pair<request::TableVersion, version::StoredService>>
-        services;
-    for (const StoredObject& it : list->items) {
-      request::Failure unreadable;
-      auto stored = version::ReadStoredService(it.path, it.body, &unreadable);
-      if (stored) {
-        const version::ServicePath path = stored->path;
-        services.emplace(path, std::pair(it.version, std::move(*stored)));
-      }
-    }
-    return services;
+    return ServicesIn(*list);
   }
 
   /// Creates or changes a service.
@@ -86,25 +77,26 @@
     if (!parsed) {
       return std::nullopt;
     }
-    const auto services = List(failure);
-    if (!services) {
+    const auto list = ListObjects(failure);
+    if (!list) {
       return std::nullopt;
     }
+    const Services services = ServicesIn(*list);
     std::map<version::ServicePath, version::ServiceSpec> specs;
-    for (const auto& [other, stored] : *services) {
+    for (const auto& [other, stored] : services) {
       specs.emplace(other, stored.second.spec);
     }
     if (!version::CheckAddresses(*parsed, spec, specs, failure)) {
       return std::nullopt;
     }
     version::StoredService next{*parsed, spec, operation, {}, {}};
-    const auto found = services->find(*parsed);
-    if (found == services->end()) {
+    const auto found = services.find(*parsed);
+    if (found == services.end()) {
       if (mode == Mode::kChange || expected) {
         *failure = {request::ResultCode::kNotFound, path + " does not exist"};
         return std::nullopt;
       }
-      return WriteConditionally(next, std::nullopt, failure);
+      return WriteConditionally(next, std::nullopt, list->version, failure);
     }
     const auto& [version, current] = found->second;
     if (mode == Mode::kCreate) {
@@ -126,7 +118,7 @@
     if (next.earlier.size() > version::kMaxEarlierOperations) {
       next.earlier.erase(next.earlier.begin());
     }
-    return WriteConditionally(next, version, failure);
+    return WriteConditionally(next, version, list->version, failure);
   }
 
   /// Removes a service; results and failures are those of `Write`.
@@ -202,6 +194,51 @@
            code == request::ResultCode::kBadAnswer;
   }
 
+  std::optional<ObjectList> ListObjects(request::Failure* failure) {
+    return Retry<ObjectList>(
+        [&](request::Failure* reason) {
+          return api_.List(std::string(version::kTeamsPrefix), reason);
+        },
+        failure);
+  }
+
+  static Services ServicesIn(const ObjectList& list) {
+    Services services;
+    for (const StoredObject& it : list.items) {
+      request::Failure unreadable;
+      auto stored = version::ReadStoredService(it.path, it.body, &unreadable);
+      if (stored) {
+        const version::ServicePath path = stored->path;
+        services.emplace(path, std::pair(it.version, std::move(*stored)));
+      }
+    }
+    return services;
+  }
+
+  // Whether the store shows that nothing was created or removed at the path
+  // after its revision `since`, when there was no such object. False also when
+  // the store does not respond or has dropped that part of its history.
+  bool IsAbsentSince(const std::string& path, request::TableVersion since) {
+    request::Failure ignored;
+    const auto list = ListObjects(&ignored);
+    if (!list) {
+      return false;
+    }
+    if (list->version == since) {
+      return true;
+    }
+    const auto changes = Retry<WatchAnswer>(
+        [&](request::Failure* reason) {
+          return api_.Watch(std::string(version::kTeamsPrefix), since,
+                            std::chrono::milliseconds(0), reason);
+        },
+        &ignored);
+    return changes && !changes->snapshot && changes->version >= list->version &&
+           std::none_of(
+               changes->events.begin(), changes->events.end(),
+               [&](const ObjectEvent& it) { return it.object.path == path; });
+  }
+
   template <typename T, typename F>
   std::optional<T> Retry(const F& call, request::Failure* failure) {
     while (true) {
@@ -260,9 +297,12 @@
     return std::nullopt;
   }
 
+  // @param base the version to replace; nothing for a creation.
+  // @param known_at store revision at which that was the state of the path.
   std::optional<AcceptedChange> WriteConditionally(
       const version::StoredService& next,
-      std::optional<request::TableVersion> base, request::Failure* failure) {
+      std::optional<request::TableVersion> base, request::TableVersion known_at,
+      request::Failure* failure) {
     const std::string path = ToString(next.path);
     const std::string body = version::WriteStoredService(next);
     // True when an earlier attempt may have taken effect.
@@ -317,6 +357,12 @@
                                       : reason.code,
                       path + " was created and removed by other operations"};
           return std::nullopt;
+        } else if (!IsAbsentSince(path, known_at)) {
+          *failure = {request::ResultCode::kOutcomeUnknown,
+                      path +
+                          " may have been created, and removed by another "
+                          "operation"};
+          return std::nullopt;
         }
         *failure = reason;
       }
--- a/packages/process/test/service_editor_test.cc
+++ b/packages/process/test/service_editor_test.cc
@@ -230,6 +230,52 @@
   CHECK(f.failure.code == ResultCode::kOutcomeUnknown);
 }
 
+// The creation took effect, its response was lost, and another operator removed
+// the service: creating it again would apply one command twice and undo the
+// removal.
+TEST_CASE(
+    "service_editor: a creation with a lost response is not repeated after a "
+    "removal") {
+  Fixture f;
+  RacingApi racing{.api = &f.client, .after_create = [&] {
+                     Failure other;
+                     REQUIRE(f.editor.Remove(kPath, std::nullopt, &other));
+                   }};
+  ServiceEditor<RacingApi> editor(&racing, request::TeamName("tarima"),
+                                  [](const Failure&) { return true; });
+  REQUIRE(f.server.Control({{"lose_answers", 1}}));
+  CHECK_FALSE(editor.Write(kPath, MakeSpec(1), MakeOperation("op-1"),
+                           ServiceEditor<RacingApi>::Mode::kCreate,
+                           std::nullopt, &f.failure));
+  CHECK(f.failure.code == ResultCode::kOutcomeUnknown);
+  CHECK(f.revision() == 2);
+}
+
+// Guards against creations that are given up although the request was lost and
+// only other services changed meanwhile.
+TEST_CASE(
+    "service_editor: a creation whose request was lost is repeated while other "
+    "services change") {
+  Fixture f;
+  RacingApi racing{
+      .api = &f.client, .after_create = [&] {
+        REQUIRE(f.server.Control({{"lose_request_share", 0.0}}));
+        Failure other;
+        REQUIRE(f.editor.Write(
+            "/teams/tarima/services/evidencia", MakeSpec(3, "10.0.0.2:80/tcp"),
+            MakeOperation("op-3"), Mode::kCreate, std::nullopt, &other));
+      }};
+  ServiceEditor<RacingApi> editor(&racing, request::TeamName("tarima"),
+                                  [&](const Failure&) { return true; });
+  // Reads and lists are not lost.
+  REQUIRE(f.server.Control({{"lose_request_share", 1.0}}));
+  const auto accepted = editor.Write(kPath, MakeSpec(1), MakeOperation("op-1"),
+                                     ServiceEditor<RacingApi>::Mode::kCreate,
+                                     std::nullopt, &f.failure);
+  REQUIRE(accepted);
+  CHECK(accepted->version.value == 2);
+}
+
 // The deletion took effect, its response was lost, and the service was created
 // again: reporting a conflict would mean that nothing was removed.
 TEST_CASE("service_editor: a deletion with a lost response is no conflict") {
