List the configuration to catch up instead of watching every version

Cause: after an outage the watch goes on from the last revision that it returned, so its response holds every version since, each a whole configuration of up to a megabyte.

Change: StoreWatcher lists the objects after a call that failed or was interrupted, and after a response with several versions of one object, where its owner asks for that.

Test: "only the newest version is read when several may be waiting".

--- a/packages/process/include/kumquatvalve/process/store_watcher.h
+++ b/packages/process/include/kumquatvalve/process/store_watcher.h
@@ -8,7 +8,9 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "kumquatvalve/process/object_api.h"
@@ -37,6 +39,12 @@
     std::function<void()> available;
   };
 
+  enum class CatchUp {
+    kWatch,
+    /// Lists the objects, which returns only the newest version of each.
+    kList,
+  };
+
   struct Timing {
     /// How long one long poll waits at the store. A store that has dropped its
     /// history may leave a waiting call without a response, so this is also the
@@ -45,6 +53,12 @@
     /// Delay after a change until the next call; the changes that arrive
     /// meanwhile are read with one call.
     std::chrono::milliseconds coalesce_interval{0};
+    /// How to read on when several versions of one object may be waiting: after
+    /// a call that failed or was interrupted, and after a response that held
+    /// several versions. A watch returns all of them. Load pattern: changes of
+    /// a large object in quick succession, during an outage or faster than a
+    /// small instance reads them; each one delays the newest version.
+    CatchUp catch_up = CatchUp::kWatch;
   };
 
   /// `api` must outlive the watcher.
@@ -63,7 +77,10 @@
       request::Failure failure;
       if (ListOrWatch(&failure)) {
         OnSuccess();
-      } else if (!interrupted_.exchange(false)) {
+        continue;
+      }
+      versions_waiting_ = true;
+      if (!interrupted_.exchange(false)) {
         OnFailure(failure);
       }
     }
@@ -95,7 +112,9 @@
  private:
   bool ListOrWatch(request::Failure* failure) {
     const bool relist = relist_.exchange(false);
-    if (!listed_ || relist) {
+    const bool list_to_catch_up =
+        versions_waiting_ && timing_.catch_up == CatchUp::kList;
+    if (!listed_ || relist || list_to_catch_up) {
       const bool done = List(failure);
       relist_ = relist_ || (!done && listed_);
       return done;
@@ -113,6 +132,7 @@
       return false;
     }
     complete_at_ = sent_at;
+    versions_waiting_ = false;
     objects_.clear();
     for (StoredObject& it : list->items) {
       std::string path = it.path;
@@ -138,6 +158,7 @@
       objects_.clear();
     }
     bool changed = response->snapshot;
+    versions_waiting_ = HasSeveralVersions(*response);
     for (ObjectEvent& it : response->events) {
       const bool known =
           !response->snapshot && !it.deleted && it.object.version <= since;
@@ -153,6 +174,16 @@
     return true;
   }
 
+  static bool HasSeveralVersions(const WatchAnswer& response) {
+    std::set<std::string_view> paths;
+    for (const ObjectEvent& it : response.events) {
+      if (!paths.insert(it.object.path).second) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   void Apply(ObjectEvent event) {
     const std::string path = event.object.path;
     const auto cached = objects_.find(path);
@@ -208,6 +239,9 @@
   Objects objects_;
   request::TableVersion watch_since_;
   bool listed_ = false;
+  /// The store may have several versions of one object that the next watch
+  /// returns.
+  bool versions_waiting_ = false;
   std::atomic<bool> unavailable_{false};
   std::atomic<bool> stopped_{false};
   std::atomic<bool> interrupted_{false};
--- a/packages/process/test/store_watcher_test.cc
+++ b/packages/process/test/store_watcher_test.cc
@@ -71,29 +71,70 @@
 }
 
 struct Fixture {
-  Fixture() {
+  using Watcher = StoreWatcher<ScriptedStore>;
+
+  explicit Fixture(Watcher::CatchUp catch_up = Watcher::CatchUp::kWatch)
+      : watcher(&store, "config/",
+                {.watch_timeout = std::chrono::milliseconds(2500),
+                 .catch_up = catch_up},
+                {[this](const Watcher::Objects& it, Watcher::TimePoint listed) {
+                   seen.push_back(it);
+                   complete_at.push_back(listed);
+                 },
+                 [this](const Failure&) { ++unavailable; },
+                 [this] { ++available; }},
+                1) {
     store.at_end = [this] { watcher.Stop(); };
   }
 
-  using Watcher = StoreWatcher<ScriptedStore>;
-
   ScriptedStore store;
   std::vector<Watcher::Objects> seen;
   std::vector<Watcher::TimePoint> complete_at;
   int unavailable = 0;
   int available = 0;
-  Watcher watcher{
-      &store,
-      "config/",
-      {.watch_timeout = std::chrono::milliseconds(2500)},
-      {[this](const Watcher::Objects& it, Watcher::TimePoint listed) {
-         seen.push_back(it);
-         complete_at.push_back(listed);
-       },
-       [this](const Failure&) { ++unavailable; }, [this] { ++available; }},
-      1};
+  Watcher watcher;
 };
 
+// After an outage the watch of a small instance returned every version of a
+// large configuration since; reading them took up to 13 s, in which requests
+// of a removed route were still run.
+TEST_CASE(
+    "store_watcher: only the newest version is read when several may be "
+    "waiting") {
+  Fixture f(Fixture::Watcher::CatchUp::kList);
+  f.store.lists = {ObjectList{{Object("config/main", 3, "a")}, {3}},
+                   ObjectList{{Object("config/main", 9, "d")}, {9}},
+                   ObjectList{{Object("config/main", 14, "g")}, {14}}};
+  f.store.watches = {
+      std::nullopt,
+      WatchAnswer{{{Object("config/main", 10, "e"), false}}, {10}, false},
+      WatchAnswer{{{Object("config/main", 11, "f"), false},
+                   {Object("config/main", 12, "g"), false}},
+                  {12},
+                  false}};
+  f.watcher.Run();
+  // The first list follows the failure, the second one the response with two
+  // versions.
+  CHECK(f.store.calls == std::vector<std::string>{"list", "watch 3", "list",
+                                                  "watch 9", "watch 10", "list",
+                                                  "watch 14"});
+  CHECK(f.seen.back().at("config/main").body == "g");
+}
+
+TEST_CASE(
+    "store_watcher: many small objects are watched on, also after a failure") {
+  Fixture f;
+  f.store.lists = {ObjectList{{Object("config/main", 3, "a")}, {3}}};
+  f.store.watches = {std::nullopt,
+                     WatchAnswer{{{Object("config/main", 4, "b"), false},
+                                  {Object("config/main", 5, "c"), false}},
+                                 {5},
+                                 false}};
+  f.watcher.Run();
+  CHECK(f.store.calls ==
+        std::vector<std::string>{"list", "watch 3", "watch 3", "watch 5"});
+}
+
 TEST_CASE("store_watcher: a watch continues at the version of the list") {
   Fixture f;
   f.store.lists.push_back(ObjectList{{Object("config/main", 3, "a")}, {7}});
