Accept an upstream that started with the clock stepped back

Cause: IdentityTracker took every heartbeat with an earlier start time than the newest one for a late one, without end, also when no other upstream sent any, and the sidecar confirmed them all the same.

Change: the third heartbeat of an upstream with an earlier start time puts it in use, when they arrived at least 0.3 s apart with rising sequence numbers and the newer upstream sent none in between. Heartbeats that arrive together, repeated ones, and those of an earlier upstream beside a live one change nothing.

Tests: "an upstream that started with the clock stepped back replaces the one before it" failed before (6 assertions); two more hold the limits. Two cases that expected kLate for an earlier incarnation expect kEarlierIncarnation: still without effect, and not confirmed.

--- a/packages/connection/src/identity_tracker.cc
+++ b/packages/connection/src/identity_tracker.cc
@@ -1,5 +1,7 @@
 #include "kumquatvalve/connection/identity_tracker.h"
 
+#include <algorithm>
+
 namespace kumquatvalve::connection {
 namespace {
 
@@ -7,10 +9,14 @@
 // An upstream from further ahead would keep out all later ones.
 constexpr uint64_t kMaxClockDifferenceMs = 60000;
 
+// Heartbeats that arrive closer together were delayed together, for example
+// while the sidecar was paused, and may all be of an upstream that has crashed.
+constexpr std::chrono::milliseconds kMinHeartbeatSpacing{300};
+
 }  // namespace
 
 HeartbeatVerdict IdentityTracker::OnHeartbeat(
-    const UpstreamHeartbeat& heartbeat, uint64_t now_ms) {
+    const UpstreamHeartbeat& heartbeat, uint64_t now_ms, TimePoint now) {
   const UpstreamIdentity& identity = heartbeat.identity;
   if (!service_.empty() && identity.service != service_) {
     return HeartbeatVerdict::kOtherService;
@@ -18,8 +24,12 @@
   if (identity.incarnation_ms > now_ms + kMaxClockDifferenceMs) {
     return HeartbeatVerdict::kFromFuture;
   }
-  if (identity.incarnation_ms < newest_incarnation_ms_) {
-    return HeartbeatVerdict::kLate;
+  if (IsEarlier(identity.incarnation_ms)) {
+    if (!ReplacesNewest(heartbeat, now)) {
+      return HeartbeatVerdict::kEarlierIncarnation;
+    }
+    replaced_incarnation_ms_ =
+        std::max(replaced_incarnation_ms_, newest_incarnation_ms_);
   }
   const bool same_incarnation =
       identity.incarnation_ms == newest_incarnation_ms_;
@@ -28,6 +38,7 @@
     return HeartbeatVerdict::kLate;
   }
   drain_stored_ = drain_stored_ && same_incarnation;
+  candidate_.reset();
   newest_incarnation_ms_ = identity.incarnation_ms;
   sequence_ = heartbeat.sequence;
   deregistered_ = false;
@@ -36,10 +47,28 @@
   return HeartbeatVerdict::kAccepted;
 }
 
+bool IdentityTracker::ReplacesNewest(const UpstreamHeartbeat& heartbeat,
+                                     TimePoint now) {
+  const uint64_t incarnation_ms = heartbeat.identity.incarnation_ms;
+  if (!candidate_ || candidate_->incarnation_ms != incarnation_ms) {
+    candidate_ = {incarnation_ms, heartbeat.sequence, 1, now};
+    return false;
+  }
+  if (heartbeat.sequence <= candidate_->sequence) {
+    return false;
+  }
+  candidate_->sequence = heartbeat.sequence;
+  if (now - candidate_->last_counted_at >= kMinHeartbeatSpacing) {
+    candidate_->last_counted_at = now;
+    ++candidate_->heartbeats;
+  }
+  return candidate_->heartbeats >= kHeartbeatsToReplace;
+}
+
 bool IdentityTracker::OnStoredRecord(uint64_t incarnation_ms, bool draining,
                                      uint64_t now_ms) {
   if (incarnation_ms > now_ms + kMaxClockDifferenceMs ||
-      incarnation_ms < newest_incarnation_ms_) {
+      IsEarlier(incarnation_ms)) {
     return false;
   }
   if (incarnation_ms > newest_incarnation_ms_) {
--- a/packages/connection/test/identity_tracker_test.cc
+++ b/packages/connection/test/identity_tracker_test.cc
@@ -14,16 +14,18 @@
 }
 
 constexpr uint64_t kNowMs = 1000000;
+constexpr TimePoint kNow{std::chrono::hours(1)};
 
 bool Accepts(IdentityTracker* tracker, const UpstreamHeartbeat& heartbeat) {
-  return tracker->OnHeartbeat(heartbeat, kNowMs) == HeartbeatVerdict::kAccepted;
+  return tracker->OnHeartbeat(heartbeat, kNowMs, kNow) ==
+         HeartbeatVerdict::kAccepted;
 }
 
 TEST_CASE("identity_tracker: a late heartbeat does not cancel a drain") {
   IdentityTracker tracker;
   CHECK(Accepts(&tracker, Heartbeat(100, 1)));
   CHECK(Accepts(&tracker, Heartbeat(100, 3, true)));
-  CHECK(tracker.OnHeartbeat(Heartbeat(100, 2), kNowMs) ==
+  CHECK(tracker.OnHeartbeat(Heartbeat(100, 2), kNowMs, kNow) ==
         HeartbeatVerdict::kLate);
   CHECK(tracker.current()->draining);
 }
@@ -33,8 +35,8 @@
     "the upstream that took over its address") {
   IdentityTracker tracker;
   CHECK(Accepts(&tracker, Heartbeat(200, 1)));
-  CHECK(tracker.OnHeartbeat(Heartbeat(100, 9, true), kNowMs) ==
-        HeartbeatVerdict::kLate);
+  CHECK(tracker.OnHeartbeat(Heartbeat(100, 9, true), kNowMs, kNow) ==
+        HeartbeatVerdict::kEarlierIncarnation);
   CHECK(tracker.current()->incarnation_ms == 200);
 }
 
@@ -56,7 +58,7 @@
   CHECK_FALSE(tracker.OnDeparture("i-200", 100));
   CHECK(tracker.OnDeparture("i-200", 200));
   CHECK_FALSE(tracker.current());
-  CHECK(tracker.OnHeartbeat(Heartbeat(200, 2), kNowMs) ==
+  CHECK(tracker.OnHeartbeat(Heartbeat(200, 2), kNowMs, kNow) ==
         HeartbeatVerdict::kLate);
   CHECK(Accepts(&tracker, Heartbeat(300, 1)));
 }
@@ -68,14 +70,15 @@
   CHECK(Accepts(&tracker, Heartbeat(100, 1)));
   UpstreamHeartbeat other = Heartbeat(200, 1);
   other.identity.service = "evidencia";
-  CHECK(tracker.OnHeartbeat(other, kNowMs) == HeartbeatVerdict::kOtherService);
+  CHECK(tracker.OnHeartbeat(other, kNowMs, kNow) ==
+        HeartbeatVerdict::kOtherService);
   CHECK(tracker.current()->incarnation_ms == 100);
 }
 
 // An incarnation far ahead kept out every later upstream of the sidecar.
 TEST_CASE("identity_tracker: an upstream from the future is not accepted") {
   IdentityTracker tracker;
-  CHECK(tracker.OnHeartbeat(Heartbeat(kNowMs + 60001, 1), kNowMs) ==
+  CHECK(tracker.OnHeartbeat(Heartbeat(kNowMs + 60001, 1), kNowMs, kNow) ==
         HeartbeatVerdict::kFromFuture);
   CHECK_FALSE(tracker.OnStoredRecord(kNowMs + 60001, false, kNowMs));
   // Clocks may differ by seconds.
@@ -91,13 +94,81 @@
   CHECK(Accepts(&tracker, Heartbeat(100, 7)));
   CHECK(tracker.OnStoredRecord(200, false, kNowMs));
   CHECK_FALSE(tracker.current());
-  CHECK(tracker.OnHeartbeat(Heartbeat(100, 8), kNowMs) ==
-        HeartbeatVerdict::kLate);
+  CHECK(tracker.OnHeartbeat(Heartbeat(100, 8), kNowMs, kNow) ==
+        HeartbeatVerdict::kEarlierIncarnation);
   CHECK(Accepts(&tracker, Heartbeat(200, 0)));
   CHECK_FALSE(tracker.OnStoredRecord(100, true, kNowMs));
   CHECK_FALSE(tracker.current()->draining);
 }
 
+// After a crash and a step of the clock, every heartbeat of the only upstream
+// was ignored, but confirmed: its drain had no effect.
+TEST_CASE(
+    "identity_tracker: an upstream that started with the clock stepped back "
+    "replaces the one before it") {
+  IdentityTracker tracker;
+  CHECK(Accepts(&tracker, Heartbeat(5000, 40)));
+  TimePoint now = kNow;
+  uint64_t sequence = 0;
+  const auto beat = [&](uint64_t incarnation_ms, bool draining = false) {
+    now += std::chrono::milliseconds(1200);
+    return tracker.OnHeartbeat(Heartbeat(incarnation_ms, ++sequence, draining),
+                               kNowMs, now);
+  };
+  CHECK(beat(2600) == HeartbeatVerdict::kEarlierIncarnation);
+  CHECK(beat(2600) == HeartbeatVerdict::kEarlierIncarnation);
+  CHECK(beat(2600) == HeartbeatVerdict::kAccepted);
+  CHECK(tracker.current()->incarnation_ms == 2600);
+  CHECK(beat(2600, true) == HeartbeatVerdict::kAccepted);
+  CHECK(tracker.current()->draining);
+  // A delayed heartbeat or the stored record of the replaced one changes
+  // nothing.
+  CHECK(tracker.OnHeartbeat(Heartbeat(5000, 41), kNowMs, now) ==
+        HeartbeatVerdict::kEarlierIncarnation);
+  CHECK_FALSE(tracker.OnStoredRecord(5000, false, kNowMs));
+  CHECK(tracker.current()->incarnation_ms == 2600);
+  // A later start is a new incarnation as before.
+  CHECK(beat(7000) == HeartbeatVerdict::kAccepted);
+}
+
+TEST_CASE(
+    "identity_tracker: late heartbeats of an earlier upstream do not replace "
+    "one that sends its own") {
+  IdentityTracker tracker;
+  TimePoint now = kNow;
+  uint64_t sequence = 0;
+  for (int i = 0; i < 20; ++i) {
+    now += std::chrono::milliseconds(600);
+    CHECK(tracker.OnHeartbeat(Heartbeat(200, ++sequence), kNowMs, now) ==
+          HeartbeatVerdict::kAccepted);
+    now += std::chrono::milliseconds(600);
+    CHECK(tracker.OnHeartbeat(Heartbeat(100, ++sequence), kNowMs, now) ==
+          HeartbeatVerdict::kEarlierIncarnation);
+  }
+  CHECK(tracker.current()->incarnation_ms == 200);
+}
+
+// A paused sidecar finds all heartbeats that a crashed upstream sent meanwhile,
+// perhaps after those of its successor.
+TEST_CASE(
+    "identity_tracker: heartbeats of an earlier upstream that arrive together "
+    "do not replace the current one") {
+  IdentityTracker tracker;
+  CHECK(Accepts(&tracker, Heartbeat(200, 1)));
+  for (uint64_t sequence = 1; sequence <= 10; ++sequence) {
+    CHECK(tracker.OnHeartbeat(Heartbeat(100, sequence), kNowMs,
+                              kNow + std::chrono::milliseconds(5 * sequence)) ==
+          HeartbeatVerdict::kEarlierIncarnation);
+  }
+  // Repeated ones are no new ones either.
+  for (int i = 1; i <= 10; ++i) {
+    CHECK(tracker.OnHeartbeat(Heartbeat(100, 10), kNowMs,
+                              kNow + std::chrono::seconds(i)) ==
+          HeartbeatVerdict::kEarlierIncarnation);
+  }
+  CHECK(tracker.current()->incarnation_ms == 200);
+}
+
 // A delayed heartbeat from before the drain put an upstream that was leaving
 // back in use after the sidecar restarted.
 TEST_CASE("identity_tracker: a stored drain is kept after a restart") {
