Searches: one read of the routes at a time, and widen without own sidecars

On a small link each read takes most of a second. - A search did not go on to other services when the current one has no upstream at all, so the flows of the earlier one were left unanswered. - A search that was widened by a stray reply before its own sidecars were queried would not have probed their upstreams.

Change: no read is requested while one is in progress (2 s at most), and ContinueSearches asks again while a search needs newer routes. A search without own sidecars is widened at once. Whether a sidecar's upstream may be probed is decided by its service in every place.

--- a/packages/connection/include/kumquatvalve/connection/flow_locator.h
+++ b/packages/connection/include/kumquatvalve/connection/flow_locator.h
@@ -95,7 +95,7 @@
       if (inserted) {
         RecordVerdict(EntryVerdict::kRouteUnknown, packet.flow, std::nullopt);
       }
-      RequestRoutes(now);
+      ContinueSearch(it, now);
       return;
     }
     if (inserted || now - search.last_query_at() >= FlowSearch::kReplyTimeout) {
@@ -190,9 +190,6 @@
     if (refresh_pending_) {
       RequestRecords(now);
     }
-    if (routes_refresh_pending_) {
-      RequestRoutes(now);
-    }
     absl::erase_if(lost_flows_, [&](const auto& it) {
       return now - it.second > kLostFlowTtl;
     });
@@ -220,6 +217,8 @@
   // Minimum time between two reads of the upstream records, or of the routes,
   // while flows wait for newer ones.
   static constexpr Milliseconds kRefreshInterval{250};
+  // A small instance takes up to a second to read large routes.
+  static constexpr Milliseconds kRoutesReadTimeout{2000};
   // A caller whose flow was reset sends no more packets.
   static constexpr Milliseconds kLostFlowTtl{4000};
   static constexpr size_t kMaxLostFlows = 20000;
@@ -251,6 +250,13 @@
                             : host_->SidecarsForAddress(address);
   }
 
+  static Probing ProbingOf(const request::Endpoint& sidecar,
+                           const SidecarList& own) {
+    return std::find(own.begin(), own.end(), sidecar) != own.end()
+               ? Probing::kAllowed
+               : Probing::kForbidden;
+  }
+
   void QuerySidecar(FlowSearch* search, const request::ParsedPacket& packet,
                     const request::Endpoint& sidecar, TimePoint now,
                     Probing probing = Probing::kAllowed) {
@@ -310,21 +316,25 @@
               : sidecars_by_address
                     .emplace(address, host_->SidecarsForAddress(address))
                     .first->second;
-      ApplyListResults(
-          current, current->second.widened() ? all_sidecars : sidecars, now);
+      ApplyListResults(current, sidecars,
+                       current->second.widened() ? all_sidecars : sidecars,
+                       now);
     }
   }
 
-  void ApplyListResults(typename Searches::iterator it,
-                        const SidecarList& sidecars, TimePoint now) {
+  // @param own the sidecars of the services of the flow's address.
+  // @param queried all sidecars that the search has to query.
+  void ApplyListResults(typename Searches::iterator it, const SidecarList& own,
+                        const SidecarList& queried, TimePoint now) {
     FlowSearch& search = it->second;
     const auto packet = host_->Parse(search.packets().front());
     if (!packet) {
       return;
     }
-    for (const request::Endpoint& sidecar : sidecars) {
+    for (const request::Endpoint& sidecar : queried) {
       if (!search.RepliedNotHeld(sidecar)) {
-        ApplyListResult(&search, *packet, sidecar, Probing::kAllowed, now);
+        ApplyListResult(&search, *packet, sidecar, ProbingOf(sidecar, own),
+                        now);
       }
     }
     ContinueSearch(it, now);
@@ -361,6 +371,7 @@
     if (!packet) {
       return;
     }
+    const SidecarList own = host_->SidecarsForAddress(packet->flow.service);
     const bool use_lists = searches_.size() > kMaxSearchesByQuery;
     const bool list_is_newer =
         !listing_.running() && listing_.started_at() >= search->started_at();
@@ -368,13 +379,14 @@
       if (search->WasQueried(it)) {
         continue;
       }
+      const Probing probing = ProbingOf(it, own);
       if (list_is_newer && listing_.HasReply(it)) {
-        ApplyListResult(search, *packet, it, Probing::kForbidden, now);
+        ApplyListResult(search, *packet, it, probing, now);
       } else if (use_lists) {
-        search->MarkQueried(it, now, Probing::kForbidden);
+        search->MarkQueried(it, now, probing);
         list_pending_ = true;
       } else {
-        QuerySidecar(search, *packet, it, now, Probing::kForbidden);
+        QuerySidecar(search, *packet, it, now, probing);
       }
     }
   }
@@ -391,7 +403,9 @@
       return host_->IsPresumedDead(sidecar, now);
     };
     FlowSearch::Step step = search.NextStep(now, is_dead);
-    if (step == FlowSearch::Step::kNotHeld && !search.widened()) {
+    const bool all_replied =
+        step == FlowSearch::Step::kNotHeld || !search.HasQueries();
+    if (all_replied && !search.widened()) {
       Widen(&search, now);
       step = search.NextStep(now, is_dead);
     }
@@ -452,9 +466,7 @@
       if (search->WasQueried(it)) {
         continue;
       }
-      const Probing probing = std::find(own.begin(), own.end(), it) != own.end()
-                                  ? Probing::kAllowed
-                                  : Probing::kForbidden;
+      const Probing probing = ProbingOf(it, own);
       if (use_lists) {
         search->MarkQueried(it, now, probing);
       } else {
@@ -553,10 +565,12 @@
     }
   }
 
+  // Called again by `ContinueSearches` while a search needs newer routes.
   void RequestRoutes(TimePoint now) {
-    routes_refresh_pending_ = now < next_routes_refresh_at_;
-    if (!routes_refresh_pending_) {
-      next_routes_refresh_at_ = now + kRefreshInterval;
+    const bool reading = routes_complete_at_ < routes_requested_at_;
+    if (now - routes_requested_at_ >=
+        (reading ? kRoutesReadTimeout : kRefreshInterval)) {
+      routes_requested_at_ = now;
       host_->RefreshRoutes();
     }
   }
@@ -588,8 +602,7 @@
   TimePoint next_refresh_at_;
   /// The routes include every version that the store had accepted by this time.
   TimePoint routes_complete_at_;
-  bool routes_refresh_pending_ = false;
-  TimePoint next_routes_refresh_at_;
+  TimePoint routes_requested_at_;
   TimePoint next_check_at_;
 };
 
--- a/packages/connection/include/kumquatvalve/connection/flow_search.h
+++ b/packages/connection/include/kumquatvalve/connection/flow_search.h
@@ -73,6 +73,7 @@
   /// probed; their replies are pending from now on.
   std::vector<request::Endpoint> TakeSidecarsToProbe();
 
+  bool HasQueries() const { return !queries_.empty(); }
   bool WasQueried(const request::Endpoint& sidecar) const {
     return queries_.contains(sidecar);
   }
--- a/packages/connection/test/entry_router_test.cc
+++ b/packages/connection/test/entry_router_test.cc
@@ -182,6 +182,12 @@
       router.OnTick(now);
     }
   }
+  bool WasSent(HopKind kind, int to) const {
+    const auto found = sink.SentOfKind(kind);
+    return std::any_of(found.begin(), found.end(), [&](const Sent& it) {
+      return it.to == Record(to, "a").sidecar;
+    });
+  }
   Sent LastPacket() const { return sink.SentOfKind(HopKind::kPacket).back(); }
 
   Sink sink;
@@ -311,6 +317,13 @@
   CHECK(f.sink.route_reads == 1);
   f.AdvanceTime(milliseconds(300));
   CHECK(f.sink.route_reads == 2);
+  // No other read begins while that one is in progress.
+  f.AdvanceTime(milliseconds(1000));
+  CHECK(f.sink.route_reads == 2);
+  f.router.OnRoutesComplete(f.now, f.now);
+  f.AdvanceTime(milliseconds(1000));
+  CHECK(f.sink.resets.size() == 101);
+  CHECK(f.sink.route_reads == 2);
 }
 
 TEST_CASE("entry_router: an older version of the routes is ignored") {
@@ -636,13 +649,6 @@
                  Record(4, "a", "evidencia")}) {
     now += milliseconds(1);
   }
-
-  bool WasSent(HopKind kind, int to) const {
-    const auto found = sink.SentOfKind(kind);
-    return std::any_of(found.begin(), found.end(), [&](const Sent& it) {
-      return it.to == Record(to, "a").sidecar;
-    });
-  }
 };
 
 // Callers had their flows reset although the upstreams of the earlier service
@@ -690,6 +696,20 @@
   CHECK(f.LastPacket().to == Record(2, "a").sidecar);
 }
 
+TEST_CASE(
+    "entry_router: flows of the earlier service are found when the current one "
+    "has no upstream yet") {
+  Fixture f(Routes(1, "vacia"), {Record(1, "a"), Record(2, "a")});
+  f.now += milliseconds(1);
+  f.ReceiveData(1);
+  f.AdvanceTime(milliseconds(200));
+  REQUIRE(f.WasSent(HopKind::kLocate, 2));
+  f.ReceiveMessage(2, HopKind::kHeld, 1);
+  CHECK(f.sink.resets.empty());
+  REQUIRE(f.sink.SentOfKind(HopKind::kPacket).size() == 1);
+  CHECK(f.LastPacket().to == Record(2, "a").sidecar);
+}
+
 TEST_CASE(
     "entry_router: a flow that no sidecar of any service holds is reset once "
     "all have replied") {
