Await sidecars of other services for 1.5 s at most

While one of another service was being restarted or had just been killed, a caller could wait for its reset for up to 3 s and more, beyond its time limit.

Change: FlowSearch does not await a sidecar of another service for longer than 1.5 s after the first query. One that restarts within that time has no knowledge of earlier flows anyway. Sidecars of the flow's own service are awaited as before.

--- a/packages/connection/include/kumquatvalve/connection/flow_search.h
+++ b/packages/connection/include/kumquatvalve/connection/flow_search.h
@@ -66,7 +66,9 @@
   /// flow, which counts as not held when the upstream must not be probed.
   void OnInconclusive(const request::Endpoint& sidecar);
 
-  /// What to do next. Missing replies delay probes by at most `kReplyTimeout`.
+  /// What to do next. Missing replies delay probes by at most `kReplyTimeout`,
+  /// and those of sidecars whose upstreams must not be probed delay the result
+  /// by at most `kOtherServiceTimeout`.
   Step NextStep(TimePoint now, const IsPresumedDead& is_dead) const;
 
   /// Returns the sidecars whose replies were inconclusive and marks them as
@@ -94,6 +96,10 @@
   /// Sidecars reply within this time unless they are dead or a datagram was
   /// lost. It is shorter than the 200 ms after which a caller retransmits.
   static constexpr std::chrono::milliseconds kReplyTimeout{150};
+  /// A sidecar of another service that has not replied by then is restarting or
+  /// its machine is gone; either way it cannot say that it holds the flow. A
+  /// caller whose flow is lost must not wait for it until its own timeout.
+  static constexpr std::chrono::milliseconds kOtherServiceTimeout{1500};
 
  private:
   enum class State { kQueried, kInconclusive, kProbed, kNotHeld };
@@ -101,8 +107,12 @@
   struct Query {
     State state = State::kQueried;
     Probing probing = Probing::kAllowed;
+    TimePoint first_sent_at;
   };
 
+  // Whether the search waits for the reply to a query or a probe.
+  static bool IsAwaited(const Query& query, TimePoint now);
+
   TimePoint started_at_;
   TimePoint last_query_at_;
   bool probed_ = false;
--- a/packages/connection/src/flow_search.cc
+++ b/packages/connection/src/flow_search.cc
@@ -14,7 +14,7 @@
 void FlowSearch::MarkQueried(const request::Endpoint& sidecar, TimePoint now,
                              Probing probing) {
   const auto [it, inserted] =
-      queries_.try_emplace(sidecar, Query{State::kQueried, probing});
+      queries_.try_emplace(sidecar, Query{State::kQueried, probing, now});
   it->second.state = State::kQueried;
   last_query_at_ = now;
 }
@@ -34,15 +34,27 @@
   }
 }
 
+bool FlowSearch::IsAwaited(const Query& query, TimePoint now) {
+  switch (query.state) {
+    case State::kQueried:
+      return query.probing == Probing::kAllowed ||
+             now - query.first_sent_at < kOtherServiceTimeout;
+    case State::kProbed:
+      return true;
+    case State::kInconclusive:
+    case State::kNotHeld:
+      return false;
+  }
+  return false;
+}
+
 FlowSearch::Step FlowSearch::NextStep(TimePoint now,
                                       const IsPresumedDead& is_dead) const {
   size_t awaited = 0;
   size_t inconclusive = 0;
   size_t not_held = 0;
   for (const auto& [sidecar, query] : queries_) {
-    const bool pending =
-        query.state == State::kQueried || query.state == State::kProbed;
-    awaited += pending && !is_dead(sidecar) ? 1 : 0;
+    awaited += IsAwaited(query, now) && !is_dead(sidecar) ? 1 : 0;
     inconclusive += query.state == State::kInconclusive ? 1 : 0;
     not_held += query.state == State::kNotHeld ? 1 : 0;
   }
--- a/packages/connection/test/flow_search_test.cc
+++ b/packages/connection/test/flow_search_test.cc
@@ -43,6 +43,25 @@
   CHECK(f.NextStep() == Step::kNotHeld);
 }
 
+// Guards against callers of lost flows that wait for a sidecar of another
+// service, as one that is being restarted, until their own timeout.
+TEST_CASE(
+    "flow_search: the reply of a sidecar of another service is awaited for a "
+    "short time only") {
+  Fixture f(3);
+  for (int i = 1; i <= 3; ++i) {
+    f.search.OnNotHeld(Sidecar(i));
+  }
+  f.search.MarkQueried(Sidecar(4), f.now, FlowSearch::Probing::kForbidden);
+  CHECK(f.NextStep() == Step::kWait);
+  f.now += milliseconds(1400);
+  // A repeated query does not extend the time.
+  f.search.MarkQueried(Sidecar(4), f.now);
+  CHECK(f.NextStep() == Step::kWait);
+  f.now += milliseconds(100);
+  CHECK(f.NextStep() == Step::kNotHeld);
+}
+
 TEST_CASE("flow_search: a reply of a sidecar without a query is ignored") {
   Fixture f(2);
   f.search.OnNotHeld(Sidecar(1));
