Sidecar: count a record of another service as read

A sidecar that takes over the address of another service finds that service's record. It was left out as not of this sidecar before it counted as the first read, so a sidecar that started some milliseconds after its upstream drew no conclusion and delivered packets of unknown flows to find out.

Change: RecordedIncarnation decides what a record says of an earlier process: 0 for one of another service, nothing for one that cannot be read.

Test: "the record of another service names no earlier incarnation".

--- a/packages/connection/include/kumquatvalve/connection/identity_tracker.h
+++ b/packages/connection/include/kumquatvalve/connection/identity_tracker.h
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "kumquatvalve/connection/admission_policy.h"
+#include "kumquatvalve/version/route_map.h"
 
 namespace kumquatvalve::connection {
 
@@ -121,6 +122,14 @@
   bool drain_stored_ = false;
 };
 
+/// Returns the incarnation that an earlier process of a sidecar recorded, 0
+/// when the record is of another service, whose flows this one cannot have.
+/// @param stored the sidecar's record in the store; nothing when it cannot be
+///   read, and then the result is nothing too.
+std::optional<uint64_t> RecordedIncarnation(
+    const std::optional<version::UpstreamRecord>& stored,
+    const request::Endpoint& sidecar, const request::ServiceName& service);
+
 }  // namespace kumquatvalve::connection
 
 #endif  // KUMQUATVALVE_CONNECTION_IDENTITY_TRACKER_H_
--- a/packages/connection/src/identity_tracker.cc
+++ b/packages/connection/src/identity_tracker.cc
@@ -100,4 +100,15 @@
   return current;
 }
 
+std::optional<uint64_t> RecordedIncarnation(
+    const std::optional<version::UpstreamRecord>& stored,
+    const request::Endpoint& sidecar, const request::ServiceName& service) {
+  if (!stored) {
+    return std::nullopt;
+  }
+  return stored->sidecar == sidecar && stored->service == service
+             ? stored->incarnation_ms
+             : 0;
+}
+
 }  // namespace kumquatvalve::connection
--- a/packages/connection/test/identity_tracker_test.cc
+++ b/packages/connection/test/identity_tracker_test.cc
@@ -182,5 +182,23 @@
   CHECK_FALSE(tracker.current()->draining);
 }
 
+// The address of an upstream was reused by another service: its sidecar found
+// the record of the earlier service and, since it did not trust the order of
+// the start times, delivered packets of unknown flows to find out.
+TEST_CASE(
+    "identity_tracker: the record of another service names no earlier "
+    "incarnation") {
+  version::UpstreamRecord record;
+  request::Failure failure;
+  record.sidecar = *request::ParseEndpoint("10.0.0.1:8172", &failure);
+  record.service = request::ServiceName("patio");
+  record.incarnation_ms = 100;
+  const request::ServiceName evidencia("evidencia");
+  CHECK(RecordedIncarnation(record, record.sidecar, record.service) == 100);
+  CHECK(RecordedIncarnation(record, record.sidecar, evidencia) == 0);
+  CHECK_FALSE(
+      RecordedIncarnation(std::nullopt, record.sidecar, record.service));
+}
+
 }  // namespace
 }  // namespace kumquatvalve::connection
