Mark a flow's packets with the service that it was placed at

Cause: an entry instance marked each packet for a sidecar with the service of the sidecar's current record, also when its flow had been placed there before the address changed hands. A repeated first packet or a packet of an open flow was then accepted by the sidecar of the other service.

Change: the flow keeps its service, and its packets are marked with it. A repeated first packet goes to another upstream when the sidecar's service has changed. An upstream is probed only while its sidecar is of a service of the flow's address.

--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -120,7 +120,7 @@
     flow.last_packet_at = now;
     flow.open = true;
     flow.ended = flow.ended || packet.fin || packet.rst;
-    Forward(flow.holder, packet.bytes, {}, now);
+    Forward(flow.holder, flow.service, packet.bytes, {}, now);
   }
 
   /// A message that arrived from a sidecar.
@@ -140,7 +140,7 @@
         }
         return;
       case request::HopKind::kHeld:
-        OnHeld(from, message.flow, now);
+        OnHeld(from, message, now);
         return;
       case request::HopKind::kNotHeld:
         OnNotHeld(from, message.flow, now);
@@ -216,7 +216,13 @@
     }
     void SendProbe(const request::Endpoint& sidecar,
                    std::span<const std::byte> packet, TimePoint now) {
-      router_->Forward(sidecar, packet, {.probe = true}, now);
+      const auto parsed = router_->sink_->Parse(packet);
+      const request::ServiceTag tag = router_->ServiceTagOfSidecar(sidecar);
+      // Another service may have taken over the sidecar's address meanwhile.
+      if (parsed &&
+          Contains(router_->TagsForAddress(parsed->flow.service), tag)) {
+        router_->Forward(sidecar, tag, packet, {.probe = true}, now);
+      }
     }
     void Reset(const request::ParsedPacket& packet) {
       router_->sink_->Reset(packet);
@@ -235,6 +241,11 @@
     }
 
    private:
+    static bool Contains(const std::vector<request::ServiceTag>& tags,
+                         request::ServiceTag tag) {
+      return std::find(tags.begin(), tags.end(), tag) != tags.end();
+    }
+
     EntryRouter* router_;
   };
 
@@ -271,6 +282,9 @@
 
   struct Flow {
     request::Endpoint holder;
+    /// The holder's service. The sidecar refuses the flow's packets once
+    /// another service has taken over its address.
+    request::ServiceTag service;
     uint32_t caller_isn = 0;
     /// The caller sent a packet after its first one, or a sidecar replied that
     /// it holds the flow.
@@ -380,6 +394,7 @@
       return;
     }
     flow.holder = view->sidecar();
+    flow.service = view->tag();
     const bool offered_before =
         std::find(flow.offered.begin(), flow.offered.end(), flow.holder) !=
         flow.offered.end();
@@ -398,8 +413,9 @@
     decision.report_age = view->ReportAge(now);
     decision.route_revision = routes_->revision;
     const request::Endpoint holder = flow.holder;
+    const request::ServiceTag service = flow.service;
     flows_.insert_or_assign(packet.flow, std::move(flow));
-    Forward(holder, packet.bytes,
+    Forward(holder, service, packet.bytes,
             {.final_offer = final_offer,
              .wait_limit = WaitLimit(packet, route),
              .target_remaining = std::max(
@@ -491,9 +507,10 @@
                                   const version::Route& route, TimePoint now) {
     flow->last_packet_at = now;
     const UpstreamView* view = upstreams_.Find(flow->holder);
-    const bool alive = view != nullptr && view->AcceptsNewFlows(now, false);
+    const bool alive = view != nullptr && view->tag() == flow->service &&
+                       view->AcceptsNewFlows(now, false);
     if (flow->open || alive) {
-      Forward(flow->holder, packet.bytes, {}, now);
+      Forward(flow->holder, flow->service, packet.bytes, {}, now);
       return;
     }
     Flow retried = *flow;
@@ -528,8 +545,8 @@
     Offer(std::move(flow), *packet, *route, EntryVerdict::kPlacedAgain, now);
   }
 
-  // Sidecars of the services that an address is or was routed to.
-  std::vector<request::Endpoint> SidecarsForAddress(
+  // Services that an address is or was routed to.
+  std::vector<request::ServiceTag> TagsForAddress(
       const request::Endpoint& address) const {
     std::vector<request::ServiceTag> tags;
     if (const auto it = earlier_services_.find(address);
@@ -541,11 +558,17 @@
         tags.push_back(it.tag);
       }
     }
-    return upstreams_.SidecarsForServices(tags);
+    return tags;
+  }
+
+  std::vector<request::Endpoint> SidecarsForAddress(
+      const request::Endpoint& address) const {
+    return upstreams_.SidecarsForServices(TagsForAddress(address));
   }
 
-  void OnHeld(const request::Endpoint& from, const request::FlowKey& key,
+  void OnHeld(const request::Endpoint& from, const request::HopMessage& reply,
               TimePoint now) {
+    const request::FlowKey& key = reply.flow;
     // Without a search the reply is late: the flow was found meanwhile, or its
     // caller has opened another one from the same port.
     const auto search = locator_.TakeSearch(key);
@@ -557,6 +580,7 @@
     }
     Flow& flow = flows_[key];
     flow.holder = from;
+    flow.service = reply.service;
     flow.open = true;
     flow.duplicate_offer = false;
     flow.last_packet_at = now;
@@ -564,7 +588,7 @@
       // The probe has already delivered the first kept packet to this sidecar.
       const bool already_sent = search->probed() && i == 0;
       if (!already_sent) {
-        Forward(from, search->packets()[i], {}, now);
+        Forward(from, reply.service, search->packets()[i], {}, now);
       }
     }
     RecordVerdict(EntryVerdict::kLocated, key, routes_->Find(key.service),
@@ -580,7 +604,8 @@
     locator_.OnNotHeld(from, key, now);
   }
 
-  void Forward(const request::Endpoint& sidecar,
+  // @param service the service that the packet's flow was placed at.
+  void Forward(const request::Endpoint& sidecar, request::ServiceTag service,
                std::span<const std::byte> packet, ForwardOptions options,
                TimePoint now) {
     UpstreamView* view = upstreams_.Find(sidecar);
@@ -589,7 +614,7 @@
     }
     request::HopMessage message;
     message.kind = request::HopKind::kPacket;
-    message.service = view->tag();
+    message.service = service;
     message.probe = options.probe;
     message.final_offer = options.final_offer;
     message.max_wait = options.wait_limit;
--- a/packages/connection/test/entry_router_test.cc
+++ b/packages/connection/test/entry_router_test.cc
@@ -285,6 +285,7 @@
   CHECK(f.sink.SentOfKind(HopKind::kLocate).size() >= 3);
   request::HopMessage held;
   held.kind = HopKind::kHeld;
+  held.service = request::ServiceTagOf("patio");
   held.flow = f.UnroutedData(1).flow;
   f.router.OnHopMessage(Record(2, "a").sidecar, held, {}, f.now);
   CHECK(f.sink.resets.empty());
@@ -326,6 +327,67 @@
   CHECK(f.sink.route_reads == 2);
 }
 
+// The sidecars at the addresses belong to another service now; they accept
+// packets that are marked for it.
+void GiveAllSidecarsToOtherService(Fixture* f) {
+  for (version::UpstreamRecord& it : f->records) {
+    it.service = request::ServiceName("evidencia");
+    it.incarnation_ms += 5000;
+  }
+  f->records.push_back(Record(9, "a"));
+  f->router.OnUpstreamRecords(f->records, f->now, f->now);
+  for (int i = 1; i <= 3; ++i) {
+    f->ReportLoad(i, {}, "evidencia");
+  }
+  f->ReportLoad(9, {});
+}
+
+// A caller repeated its first packet while another service took over the
+// address of the upstream that it had been sent to, and got that service's
+// response.
+TEST_CASE(
+    "entry_router: a repeated first packet does not follow an address to "
+    "another service") {
+  Fixture f;
+  f.ReceiveSyn(1);
+  GiveAllSidecarsToOtherService(&f);
+  f.ReceiveSyn(1);
+  CHECK(f.LastPacket().to == Record(9, "a").sidecar);
+  CHECK(f.LastPacket().message.service == request::ServiceTagOf("patio"));
+}
+
+TEST_CASE(
+    "entry_router: packets of an open flow stay marked for the service that it "
+    "was placed at") {
+  Fixture f;
+  f.ReceiveSyn(1);
+  f.ReceiveData(1);
+  f.ReceiveData(2);
+  f.ReceiveMessage(3, HopKind::kHeld, 2);
+  GiveAllSidecarsToOtherService(&f);
+  for (const uint16_t port : {1, 2}) {
+    f.ReceiveData(port);
+    CHECK(f.LastPacket().message.service == request::ServiceTagOf("patio"));
+  }
+}
+
+TEST_CASE(
+    "entry_router: an upstream of another service that took over an address is "
+    "not probed") {
+  Fixture f;
+  f.ReceiveData(1);
+  for (int i = 1; i <= 3; ++i) {
+    f.ReceiveMessage(i, HopKind::kInconclusive, 1);
+    if (i == 1) {
+      GiveAllSidecarsToOtherService(&f);
+    }
+  }
+  f.AdvanceTime(milliseconds(400));
+  for (const Sent& it : f.sink.SentOfKind(HopKind::kPacket)) {
+    CHECK(it.to == Record(9, "a").sidecar);
+  }
+}
+
 TEST_CASE("entry_router: an older version of the routes is ignored") {
   Fixture f;
   CHECK(f.router.OnRoutes(Routes(5, "evidencia")));
