Fleet tests: choose ports that the kernel gives to no other socket

Cause: free_ports bound ephemeral ports, closed them and returned them. Until the program with such a port started, the kernel could give it to a socket of a daemon that was running already. The caller ends at once then: started by hand with a control port in use it exits with 14 (socket_error), and the test shows what the failed one showed. That this is what happened is inferred, as the failed run kept no log of the caller.

Change: ports are chosen below the ephemeral range. A failed run prints the exit status and the last line of each program that ended.

No check is changed.

--- a/standins/test/datapath_test.py
+++ b/standins/test/datapath_test.py
@@ -127,7 +127,8 @@
         except (RuntimeError, TypeError) as ex:
             faults = [str(ex)]
             faults += [f"{it}: {fleet.counts(it)}" for it in fleet.ports if it.startswith("caller")]
-            faults += [f"{it}: ended" for it, process in fleet.processes.items() if process.poll() is not None]
+            faults += [f"{it}: ended with {process.returncode}: {fleet.last_line(it)}"
+                       for it, process in fleet.processes.items() if process.poll() is not None]
         finally:
             fleet.stop()
     for it in faults:
--- a/standins/test/fleet.py
+++ b/standins/test/fleet.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -32,30 +33,41 @@
 WAIT_TIMEOUT_S = 90
 
 
+# Ports below this one are often used by services.
+LOWEST_PORT = 20000
+
 # Ports returned by free_ports() so far. The ports of a second fleet are chosen
 # before the first fleet binds its own, so the kernel could offer some twice.
 ALLOCATED_PORTS = set()
 
 
+def port_range():
+    """The ports below the ephemeral ones; all unprivileged ones where these leave too few."""
+    first_ephemeral = int(pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
+    return (LOWEST_PORT, first_ephemeral) if first_ephemeral >= LOWEST_PORT + 2000 else (LOWEST_PORT, 65536)
+
+
 def free_ports(n):
-    """Returns n ports that are free for TCP and UDP on loopback."""
+    """Returns n ports that are free for TCP and UDP on loopback.
+
+    They lie below the ephemeral ports where possible: between this call and the
+    start of the program that gets a port, the kernel could give an ephemeral one
+    to a socket of another program.
+    """
     ports = []
-    sockets = []
+    low, high = port_range()
     while len(ports) < n:
-        tcp = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        tcp.bind(("127.0.0.1", 0))
-        port = tcp.getsockname()[1]
-        udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        sockets += [tcp, udp]
-        try:
-            udp.bind(("127.0.0.1", port))
-            if port not in ALLOCATED_PORTS:
-                ALLOCATED_PORTS.add(port)
-                ports.append(port)
-        except OSError:
-            pass
-    for it in sockets:
-        it.close()
+        port = random.randrange(low, high)
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp, \
+                socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
+            try:
+                tcp.bind(("127.0.0.1", port))
+                udp.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ALLOCATED_PORTS:
+            ALLOCATED_PORTS.add(port)
+            ports.append(port)
     return ports
 
 
@@ -252,6 +264,11 @@
             except OSError:
                 return None
 
+    def last_line(self, key):
+        """The last line that a program wrote; empty when it wrote none."""
+        lines = (self.directory / f"{key}.log").read_text().strip().splitlines()
+        return lines[-1] if lines else ""
+
     def stop(self):
         for it in self.processes.values():
             if it.poll() is None:
