--- a/packages/connection/include/kumquatvalve/connection/flow_search.h
+++ b/packages/connection/include/kumquatvalve/connection/flow_search.h
@@ -97,7 +97,7 @@
   /// lost. It is shorter than the 200 ms after which a caller retransmits.
   static constexpr std::chrono::milliseconds kReplyTimeout{150};
   /// A sidecar of another service that has not replied by then is restarting or
-  /// its machine is gone; either way it cannot say that it holds the flow. A
+  /// its machine is down; either way it cannot say that it holds the flow. A
   /// caller whose flow is lost must not wait for it until its own timeout.
   static constexpr std::chrono::milliseconds kOtherServiceTimeout{1500};
 
--- a/packages/process/test/record_keeper_test.cc
+++ b/packages/process/test/record_keeper_test.cc
@@ -211,8 +211,8 @@
   CHECK(f.store.writes == 0);
 }
 
-// What an earlier process wrote cannot be told from what this one wrote, except
-// by the first read.
+// What an earlier process wrote cannot be distinguished from what this one
+// wrote, except by the first read.
 TEST_CASE(
     "record_keeper: an absent object is reported before the first write") {
   Fixture f;
