Order the starts of an upstream without trust in the time of day

Callers saw a service lose capacity, or all of it, for the rest of an outage of the store: an upstream that started with an earlier time than the one before it, which had drained and left, got no flows.

The store's order hid this while it was reachable. The sidecar's gate compared its own start with its upstream's by the time of day too, and a start in the same millisecond as the one before it was taken for that one.

Change: connection/latest_start makes the decision in one place and expresses it as an order (request/start_order), which travels with the record and its announcement when it is not the start time. RecordBook compares orders. A sidecar that restarted without the store learns the order from the record that an entry instance returns in place of "ok". A late heartbeat that announces a drain which is not in force is not confirmed. The gate's evidence that it has seen all flows is now the heartbeats of another upstream before, or one of the upstream's first two heartbeats together with the store's record.

The unit tests use new functions and were not run on the code before. Test code changed: the fixture of upstream_gate_test states the evidence that followed from start times before; OnStoredRecord is OnKnownRecord and takes a record; the handlers of two fixtures have another parameter.

No store call is added; a record whose order is its start time has the same text as before.

--- a/packages/connection/include/kumquatvalve/connection/identity_tracker.h
+++ b/packages/connection/include/kumquatvalve/connection/identity_tracker.h
@@ -9,6 +9,8 @@
 #include <utility>
 
 #include "kumquatvalve/connection/admission_policy.h"
+#include "kumquatvalve/connection/latest_start.h"
+#include "kumquatvalve/request/start_order.h"
 #include "kumquatvalve/version/route_map.h"
 
 namespace kumquatvalve::connection {
@@ -21,6 +23,13 @@
   uint64_t incarnation_ms = 0;
   uint32_t slots = 1;
   bool draining = false;
+  /// Position of this start among those of the sidecar's upstreams; set by
+  /// `IdentityTracker`, as are the next two.
+  request::StartOrder order;
+  /// The upstream started while this sidecar process ran.
+  bool started_after_sidecar = false;
+  /// At most a few heartbeats were sent before the first one that arrived here.
+  bool is_new = false;
 
   friend bool operator==(const UpstreamIdentity&,
                          const UpstreamIdentity&) = default;
@@ -38,6 +47,9 @@
   kAccepted,
   /// It is older than one that arrived before, or its upstream has left.
   kLate,
+  /// As `kLate`, but it announces a drain that is not in force, and must not be
+  /// confirmed.
+  kLateDrain,
   /// It is of an earlier incarnation than the newest one. It must not be
   /// confirmed, since it has no effect: its upstream may be the current one all
   /// the same, see `IdentityTracker`.
@@ -49,12 +61,8 @@
 };
 
 /// Keeps the newest announced identity of a sidecar's upstream. Heartbeats may
-/// arrive late: after a newer one, or after another incarnation took over the
-/// address. The newest incarnation has the latest start time, unless the time
-/// of day was stepped back between two starts: then only the one with the
-/// earlier start time sends heartbeats. It replaces the other one after
-/// `kHeartbeatsToReplace` heartbeats, between which the other one sent none.
-/// Not thread-safe.
+/// arrive late: after a newer one, or after another upstream took over the
+/// address. `LatestStart` decides which upstream started last. Not thread-safe.
 class IdentityTracker {
  public:
   /// @param service the service of this sidecar; empty when any is accepted.
@@ -67,14 +75,21 @@
   HeartbeatVerdict OnHeartbeat(const UpstreamHeartbeat& heartbeat,
                                uint64_t now_ms, TimePoint now);
 
-  /// A record of this sidecar was found in the store, written by an earlier
-  /// process. A heartbeat that was accepted before may be older than the
-  /// record: one that was delayed while a later upstream announced itself or
-  /// began to drain.
+  /// A record of this sidecar and its service was found in the store or at an
+  /// entry instance, perhaps written by an earlier process. A heartbeat that
+  /// was accepted before may be older than the record: one that was delayed
+  /// while a later upstream announced itself or began to drain.
   /// @param now_ms as for `OnHeartbeat`; a record from the future is ignored.
   /// @return whether the current identity changed. It is empty when the record
   ///   is of a later upstream, until that one sends a heartbeat.
-  bool OnStoredRecord(uint64_t incarnation_ms, bool draining, uint64_t now_ms);
+  bool OnKnownRecord(const version::UpstreamRecord& record, uint64_t now_ms,
+                     TimePoint now);
+
+  /// A record of this sidecar's address for another service was found: every
+  /// upstream of this service started later.
+  /// @return whether the current identity changed.
+  bool OnRecordOfOtherService(const version::UpstreamRecord& record,
+                              uint64_t now_ms);
 
   /// The upstream deregistered because it is about to exit. Its later
   /// heartbeats are ignored.
@@ -85,41 +100,18 @@
   /// Empty before the first heartbeat and after the upstream deregistered.
   const std::optional<UpstreamIdentity>& current() const { return current_; }
 
-  static constexpr int kHeartbeatsToReplace = 3;
-
  private:
-  /// An upstream with an earlier start time that sends heartbeats.
-  struct Candidate {
-    uint64_t incarnation_ms = 0;
-    uint64_t sequence = 0;
-    int heartbeats = 0;
-    TimePoint last_counted_at;
-  };
-
-  /// Whether an incarnation counts as earlier than the newest one.
-  bool IsEarlier(uint64_t incarnation_ms) const {
-    return incarnation_ms < newest_incarnation_ms_ ||
-           (incarnation_ms > newest_incarnation_ms_ &&
-            incarnation_ms <= replaced_incarnation_ms_);
-  }
-
-  /// Counts a heartbeat of an earlier incarnation.
-  /// @return whether its upstream is the current one.
-  bool ReplacesNewest(const UpstreamHeartbeat& heartbeat, TimePoint now);
+  // Sets the current identity's fields that follow from the latest start and
+  // the stored drain.
+  // @return whether the identity changed.
+  bool UpdateCurrent();
 
   std::string service_;
+  LatestStart starts_;
   std::optional<UpstreamIdentity> current_;
-  /// Of the newest upstream's last heartbeat; empty before the first.
-  std::optional<uint64_t> sequence_;
-  /// Incarnation of the newest upstream whose heartbeat arrived.
-  uint64_t newest_incarnation_ms_ = 0;
-  /// The latest start time that was replaced by an earlier one; 0 for none.
-  uint64_t replaced_incarnation_ms_ = 0;
-  std::optional<Candidate> candidate_;
-  bool deregistered_ = false;
-  /// The newest upstream was draining according to the store, and a drain is
+  /// The latest upstream was draining according to a record, and a drain is
   /// never cancelled.
-  bool drain_stored_ = false;
+  bool drain_recorded_ = false;
 };
 
 /// Returns the incarnation that an earlier process of a sidecar recorded, 0
--- a/packages/connection/include/kumquatvalve/connection/record_book.h
+++ b/packages/connection/include/kumquatvalve/connection/record_book.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <map>
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -13,7 +14,10 @@
 
 /// The upstream records that an entry instance uses: those of the store, merged
 /// with newer ones that sidecars and other entry instances announced while the
-/// store was unavailable.
+/// store was unavailable. Of two records of one sidecar the one with the larger
+/// start order is the newer one. Load pattern: upstreams that end and start
+/// again during an outage of the store, on machines whose clock is stepped
+/// back.
 class RecordBook {
  public:
   /// Replaces the records of the store. Drops announced ones that are not
@@ -27,6 +31,12 @@
   /// @return whether it changes the merged records.
   bool OnAnnouncedRecord(const version::UpstreamRecord& record, TimePoint now);
 
+  /// Returns the record in use for the sidecar of `record` when that is of a
+  /// later start, or of the same start with a larger order. The sidecar that
+  /// announced `record` does not know that order.
+  std::optional<version::UpstreamRecord> FindLater(
+      const version::UpstreamRecord& record) const;
+
   /// The merged records, one for each sidecar.
   std::vector<version::UpstreamRecord> Records() const;
 
@@ -41,6 +51,9 @@
     TimePoint received_at;
   };
 
+  // The merged record of a sidecar, or null.
+  const version::UpstreamRecord* Find(const request::Endpoint& sidecar) const;
+
   // A sidecar writes its record within two seconds after the store is available
   // again; a record that is still missing then is dropped.
   static constexpr std::chrono::milliseconds kStoreWriteTimeout{2000};
--- a/packages/connection/include/kumquatvalve/connection/stale_records.h
+++ b/packages/connection/include/kumquatvalve/connection/stale_records.h
@@ -21,7 +21,7 @@
   ///   one entry instance removes a record.
   explicit StaleRecords(uint64_t seed);
 
-  /// Returns the records to remove now, each one only once per incarnation.
+  /// Returns the records to remove now, each one only once per start.
   /// Returns no record of a service when more than a third of its sidecars are
   /// presumed dead, since this instance may be cut off then.
   std::vector<version::UpstreamRecord> FindStale(const UpstreamSet& upstreams,
@@ -29,8 +29,8 @@
 
  private:
   std::chrono::milliseconds stale_after_;
-  /// Incarnation (ms) of the upstream whose record was removed, by sidecar.
-  std::map<request::Endpoint, uint64_t> removed_;
+  /// The last record that was removed, by sidecar.
+  std::map<request::Endpoint, version::UpstreamRecord> removed_;
 };
 
 }  // namespace kumquatvalve::connection
--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -40,11 +40,8 @@
  public:
   /// @param service the service name from the settings, used until the upstream
   ///   announces its own.
-  /// @param started_ms start of this process, Unix time in milliseconds.
-  UpstreamGate(std::string_view service, uint64_t started_ms, S* sink)
-      : tag_(request::ServiceTagOf(service)),
-        started_ms_(started_ms),
-        sink_(sink) {}
+  UpstreamGate(std::string_view service, S* sink)
+      : tag_(request::ServiceTagOf(service)), sink_(sink) {}
 
   UpstreamGate(const UpstreamGate&) = delete;
   UpstreamGate& operator=(const UpstreamGate&) = delete;
@@ -270,10 +267,6 @@
   // no longer counts as expected work: its caller has left or opened the flow
   // at another upstream.
   static constexpr Milliseconds kFirstRequestTimeout{30};
-  // An upstream that started at most this long (ms) before this process, as
-  // when a machine boots, got no flows through an earlier sidecar process
-  // unless that one recorded it.
-  static constexpr uint64_t kMaxHeadStartMs = 1000;
   // A request without a response after this time will get none: its caller gave
   // up in the middle of an upload, or the response was lost with an earlier
   // sidecar process. Requests take less than half a second in a slot.
@@ -337,13 +330,12 @@
   };
 
   // Whether this process has seen every flow of the upstream's current
-  // incarnation, so that the upstream holds no others.
+  // incarnation, so that the upstream holds no others. Start times prove
+  // nothing, since the time of day may have been stepped between them.
   bool SawAllFlows() const {
-    if (!stored_incarnation_ms_) {
-      return identity_.incarnation_ms >= started_ms_;
-    }
-    return identity_.incarnation_ms != *stored_incarnation_ms_ &&
-           identity_.incarnation_ms + kMaxHeadStartMs > started_ms_;
+    return identity_.started_after_sidecar ||
+           (identity_.is_new && stored_incarnation_ms_ &&
+            *stored_incarnation_ms_ != identity_.incarnation_ms);
   }
 
   void OnNewIncarnation(bool same_service) {
@@ -826,7 +818,6 @@
 
   UpstreamIdentity identity_;
   request::ServiceTag tag_;
-  uint64_t started_ms_;
   S* sink_;
   request::UpstreamLoad load_;
   ServiceTimeEstimate service_time_;
--- a/packages/connection/src/identity_tracker.cc
+++ b/packages/connection/src/identity_tracker.cc
@@ -1,7 +1,5 @@
 #include "kumquatvalve/connection/identity_tracker.h"
 
-#include <algorithm>
-
 namespace kumquatvalve::connection {
 namespace {
 
@@ -9,10 +7,6 @@
 // An upstream from further ahead would keep out all later ones.
 constexpr uint64_t kMaxClockDifferenceMs = 60000;
 
-// Heartbeats that arrive closer together were delayed together, for example
-// while the sidecar was paused, and may all be of an upstream that has crashed.
-constexpr std::chrono::milliseconds kMinHeartbeatSpacing{300};
-
 }  // namespace
 
 HeartbeatVerdict IdentityTracker::OnHeartbeat(
@@ -24,68 +18,64 @@
   if (identity.incarnation_ms > now_ms + kMaxClockDifferenceMs) {
     return HeartbeatVerdict::kFromFuture;
   }
-  if (IsEarlier(identity.incarnation_ms)) {
-    if (!ReplacesNewest(heartbeat, now)) {
+  switch (starts_.OnMessage({identity.instance, identity.incarnation_ms},
+                            heartbeat.sequence, now)) {
+    case StartVerdict::kEarlier:
       return HeartbeatVerdict::kEarlierIncarnation;
-    }
-    replaced_incarnation_ms_ =
-        std::max(replaced_incarnation_ms_, newest_incarnation_ms_);
-  }
-  const bool same_incarnation =
-      identity.incarnation_ms == newest_incarnation_ms_;
-  const bool after_last = !sequence_ || heartbeat.sequence > *sequence_;
-  if (same_incarnation && (deregistered_ || !after_last)) {
-    return HeartbeatVerdict::kLate;
+    case StartVerdict::kRepeated:
+      return identity.draining && current_ && !current_->draining
+                 ? HeartbeatVerdict::kLateDrain
+                 : HeartbeatVerdict::kLate;
+    case StartVerdict::kReplaced:
+      drain_recorded_ = false;
+      break;
+    case StartVerdict::kLatest:
+      break;
   }
-  drain_stored_ = drain_stored_ && same_incarnation;
-  candidate_.reset();
-  newest_incarnation_ms_ = identity.incarnation_ms;
-  sequence_ = heartbeat.sequence;
-  deregistered_ = false;
   current_ = identity;
-  current_->draining = identity.draining || drain_stored_;
+  UpdateCurrent();
   return HeartbeatVerdict::kAccepted;
 }
 
-bool IdentityTracker::ReplacesNewest(const UpstreamHeartbeat& heartbeat,
-                                     TimePoint now) {
-  const uint64_t incarnation_ms = heartbeat.identity.incarnation_ms;
-  if (!candidate_ || candidate_->incarnation_ms != incarnation_ms) {
-    candidate_ = {incarnation_ms, heartbeat.sequence, 1, now};
-    return false;
-  }
-  if (heartbeat.sequence <= candidate_->sequence) {
+bool IdentityTracker::UpdateCurrent() {
+  if (!current_) {
     return false;
   }
-  candidate_->sequence = heartbeat.sequence;
-  if (now - candidate_->last_counted_at >= kMinHeartbeatSpacing) {
-    candidate_->last_counted_at = now;
-    ++candidate_->heartbeats;
-  }
-  return candidate_->heartbeats >= kHeartbeatsToReplace;
+  const UpstreamIdentity previous = *current_;
+  current_->draining = current_->draining || drain_recorded_;
+  current_->order = starts_.order();
+  current_->started_after_sidecar = starts_.began_after_creation();
+  current_->is_new = starts_.is_new();
+  return *current_ != previous;
 }
 
-bool IdentityTracker::OnStoredRecord(uint64_t incarnation_ms, bool draining,
-                                     uint64_t now_ms) {
-  if (incarnation_ms > now_ms + kMaxClockDifferenceMs ||
-      IsEarlier(incarnation_ms)) {
+bool IdentityTracker::OnKnownRecord(const version::UpstreamRecord& record,
+                                    uint64_t now_ms, TimePoint now) {
+  const request::StartOrder order = version::OrderOf(record);
+  if (order.value > now_ms + kMaxClockDifferenceMs) {
     return false;
   }
-  if (incarnation_ms > newest_incarnation_ms_) {
-    newest_incarnation_ms_ = incarnation_ms;
-    sequence_.reset();
-    deregistered_ = false;
-    drain_stored_ = draining;
+  const StartId start{record.instance, record.incarnation_ms};
+  if (starts_.OnKnownStart(start, order, now)) {
+    drain_recorded_ = record.draining;
     const bool changed = current_.has_value();
     current_.reset();
     return changed;
   }
-  drain_stored_ = drain_stored_ || draining;
-  if (current_ && drain_stored_ && !current_->draining) {
-    current_->draining = true;
-    return true;
+  if (starts_.latest() == start) {
+    drain_recorded_ = drain_recorded_ || record.draining;
+  }
+  return UpdateCurrent();
+}
+
+bool IdentityTracker::OnRecordOfOtherService(
+    const version::UpstreamRecord& record, uint64_t now_ms) {
+  const request::StartOrder order = version::OrderOf(record);
+  if (order.value > now_ms + kMaxClockDifferenceMs) {
+    return false;
   }
-  return false;
+  starts_.OnEarlierOrder(order);
+  return UpdateCurrent();
 }
 
 bool IdentityTracker::OnDeparture(std::string_view instance,
@@ -94,7 +84,7 @@
       current_ && current_->instance == instance &&
       (incarnation_ms == 0 || incarnation_ms == current_->incarnation_ms);
   if (current) {
-    deregistered_ = true;
+    starts_.OnEnd();
     current_.reset();
   }
   return current;
--- a/packages/connection/src/record_book.cc
+++ b/packages/connection/src/record_book.cc
@@ -5,14 +5,15 @@
 namespace kumquatvalve::connection {
 namespace {
 
-// Whether `record` is of a later incarnation, or announces a drain of the same
-// one. A drain is never cancelled.
+// Whether `record` is of a later start, or announces a drain of the same one. A
+// drain is never cancelled.
 bool Supersedes(const version::UpstreamRecord& record,
                 const version::UpstreamRecord& known) {
-  if (record.incarnation_ms != known.incarnation_ms) {
-    return record.incarnation_ms > known.incarnation_ms;
+  if (version::IsSameStart(record, known) &&
+      record.draining != known.draining) {
+    return record.draining;
   }
-  return record.draining && !known.draining;
+  return version::OrderOf(record) > version::OrderOf(known);
 }
 
 }  // namespace
@@ -56,25 +57,46 @@
 
 bool RecordBook::OnAnnouncedRecord(const version::UpstreamRecord& record,
                                    TimePoint now) {
-  const auto stored = stored_.find(record.sidecar);
-  if (stored != stored_.end() && !Supersedes(record, stored->second)) {
-    return false;
-  }
-  const auto [it, inserted] =
-      announced_.try_emplace(record.sidecar, Announced{record, now});
-  if (inserted) {
-    return true;
-  }
-  if (Supersedes(record, it->second.record)) {
-    it->second = {record, now};
+  const version::UpstreamRecord* known = Find(record.sidecar);
+  if (known == nullptr || Supersedes(record, *known)) {
+    version::UpstreamRecord accepted = record;
+    if (known != nullptr && version::IsSameStart(record, *known) &&
+        version::OrderOf(*known) > version::OrderOf(record)) {
+      accepted.order = known->order;
+    }
+    announced_.insert_or_assign(record.sidecar,
+                                Announced{std::move(accepted), now});
     return true;
   }
-  if (record == it->second.record) {
+  const auto it = announced_.find(record.sidecar);
+  if (it != announced_.end() &&
+      version::IsSameStart(record, it->second.record) &&
+      record.draining == it->second.record.draining) {
     it->second.received_at = now;
   }
   return false;
 }
 
+const version::UpstreamRecord* RecordBook::Find(
+    const request::Endpoint& sidecar) const {
+  if (const auto it = announced_.find(sidecar); it != announced_.end()) {
+    return &it->second.record;
+  }
+  const auto it = stored_.find(sidecar);
+  return it == stored_.end() ? nullptr : &it->second;
+}
+
+std::optional<version::UpstreamRecord> RecordBook::FindLater(
+    const version::UpstreamRecord& record) const {
+  const version::UpstreamRecord* known = Find(record.sidecar);
+  if (known == nullptr || version::OrderOf(record) > version::OrderOf(*known) ||
+      (version::IsSameStart(record, *known) &&
+       version::OrderOf(record) == version::OrderOf(*known))) {
+    return std::nullopt;
+  }
+  return *known;
+}
+
 std::vector<version::UpstreamRecord> RecordBook::Records() const {
   auto merged = stored_;
   for (const auto& [sidecar, announced] : announced_) {
--- a/packages/connection/src/stale_records.cc
+++ b/packages/connection/src/stale_records.cc
@@ -38,14 +38,13 @@
   std::vector<version::UpstreamRecord> found;
   for (const auto& [sidecar, view] : upstreams.views()) {
     const ServiceCount& count = counts[view.tag()];
-    const uint64_t incarnation = view.record().incarnation_ms;
     const auto earlier = removed_.find(sidecar);
-    const bool removed =
-        earlier != removed_.end() && earlier->second == incarnation;
+    const bool removed = earlier != removed_.end() &&
+                         version::IsSameStart(earlier->second, view.record());
     if (view.listed() && !removed &&
         view.UnresponsiveTime(now) >= stale_after_ &&
         count.dead * kMinUpstreamsPerDead <= count.all) {
-      removed_[sidecar] = incarnation;
+      removed_[sidecar] = view.record();
       found.push_back(view.record());
     }
   }
--- a/packages/connection/src/upstream_view.cc
+++ b/packages/connection/src/upstream_view.cc
@@ -49,9 +49,7 @@
 
 bool UpstreamView::IsSameIncarnation(
     const version::UpstreamRecord& record) const {
-  return record_.sidecar == record.sidecar &&
-         record_.service == record.service &&
-         record_.incarnation_ms == record.incarnation_ms;
+  return version::IsSameStart(record_, record);
 }
 
 void UpstreamView::OnRecord(const version::UpstreamRecord& record,
--- a/packages/connection/test/identity_tracker_test.cc
+++ b/packages/connection/test/identity_tracker_test.cc
@@ -16,6 +16,17 @@
 constexpr uint64_t kNowMs = 1000000;
 constexpr TimePoint kNow{std::chrono::hours(1)};
 
+version::UpstreamRecord Record(uint64_t incarnation_ms, bool draining,
+                               uint64_t order = 0) {
+  version::UpstreamRecord record;
+  record.service = request::ServiceName("patio");
+  record.instance = "i-" + std::to_string(incarnation_ms);
+  record.incarnation_ms = incarnation_ms;
+  record.order = {order};
+  record.draining = draining;
+  return record;
+}
+
 bool Accepts(IdentityTracker* tracker, const UpstreamHeartbeat& heartbeat) {
   return tracker->OnHeartbeat(heartbeat, kNowMs, kNow) ==
          HeartbeatVerdict::kAccepted;
@@ -80,7 +91,8 @@
   IdentityTracker tracker;
   CHECK(tracker.OnHeartbeat(Heartbeat(kNowMs + 60001, 1), kNowMs, kNow) ==
         HeartbeatVerdict::kFromFuture);
-  CHECK_FALSE(tracker.OnStoredRecord(kNowMs + 60001, false, kNowMs));
+  CHECK_FALSE(
+      tracker.OnKnownRecord(Record(kNowMs + 60001, false), kNowMs, kNow));
   // Clocks may differ by seconds.
   CHECK(Accepts(&tracker, Heartbeat(kNowMs + 60000, 1)));
 }
@@ -92,12 +104,12 @@
     "upstream than the stored one") {
   IdentityTracker tracker;
   CHECK(Accepts(&tracker, Heartbeat(100, 7)));
-  CHECK(tracker.OnStoredRecord(200, false, kNowMs));
+  CHECK(tracker.OnKnownRecord(Record(200, false), kNowMs, kNow));
   CHECK_FALSE(tracker.current());
   CHECK(tracker.OnHeartbeat(Heartbeat(100, 8), kNowMs, kNow) ==
         HeartbeatVerdict::kEarlierIncarnation);
   CHECK(Accepts(&tracker, Heartbeat(200, 0)));
-  CHECK_FALSE(tracker.OnStoredRecord(100, true, kNowMs));
+  CHECK_FALSE(tracker.OnKnownRecord(Record(100, true), kNowMs, kNow));
   CHECK_FALSE(tracker.current()->draining);
 }
 
@@ -125,7 +137,7 @@
   // nothing.
   CHECK(tracker.OnHeartbeat(Heartbeat(5000, 41), kNowMs, now) ==
         HeartbeatVerdict::kEarlierIncarnation);
-  CHECK_FALSE(tracker.OnStoredRecord(5000, false, kNowMs));
+  CHECK_FALSE(tracker.OnKnownRecord(Record(5000, false), kNowMs, now));
   CHECK(tracker.current()->incarnation_ms == 2600);
   // A later start is a new incarnation as before.
   CHECK(beat(7000) == HeartbeatVerdict::kAccepted);
@@ -174,7 +186,7 @@
 TEST_CASE("identity_tracker: a stored drain is kept after a restart") {
   IdentityTracker tracker;
   CHECK(Accepts(&tracker, Heartbeat(100, 7)));
-  CHECK(tracker.OnStoredRecord(100, true, kNowMs));
+  CHECK(tracker.OnKnownRecord(Record(100, true), kNowMs, kNow));
   CHECK(tracker.current()->draining);
   CHECK(Accepts(&tracker, Heartbeat(100, 8)));
   CHECK(tracker.current()->draining);
@@ -182,6 +194,69 @@
   CHECK_FALSE(tracker.current()->draining);
 }
 
+// An upstream that started in the same millisecond as the one before it, under
+// the same name, got its drain confirmed while it still got flows.
+TEST_CASE("identity_tracker: a late heartbeat does not confirm a drain") {
+  IdentityTracker tracker;
+  CHECK(Accepts(&tracker, Heartbeat(100, 40)));
+  CHECK(tracker.OnHeartbeat(Heartbeat(100, 7, true), kNowMs, kNow) ==
+        HeartbeatVerdict::kLateDrain);
+  CHECK(Accepts(&tracker, Heartbeat(100, 41, true)));
+  // A repeated heartbeat is confirmed when its drain is in force.
+  CHECK(tracker.OnHeartbeat(Heartbeat(100, 41, true), kNowMs, kNow) ==
+        HeartbeatVerdict::kLate);
+}
+
+// Guards against a drain of one upstream that is applied to the next one, whose
+// start time is the same.
+TEST_CASE(
+    "identity_tracker: the record of another upstream with the same start time "
+    "is not that of this one") {
+  IdentityTracker tracker;
+  UpstreamHeartbeat heartbeat = Heartbeat(100, 1);
+  heartbeat.identity.instance = "i-other";
+  TimePoint now = kNow;
+  for (heartbeat.sequence = 1; heartbeat.sequence <= 3; ++heartbeat.sequence) {
+    CHECK(tracker.OnHeartbeat(heartbeat, kNowMs, now) ==
+          HeartbeatVerdict::kAccepted);
+    now += std::chrono::milliseconds(1200);
+  }
+  CHECK(tracker.OnKnownRecord(Record(100, true), kNowMs, now));
+  REQUIRE(tracker.current());
+  CHECK_FALSE(tracker.current()->draining);
+  CHECK(tracker.current()->order.value == 101);
+}
+
+// A sidecar that restarted during an outage of the store announced its upstream
+// with an order that entry instances took for that of an earlier one.
+TEST_CASE(
+    "identity_tracker: a record of an entry instance corrects the order of the "
+    "current upstream") {
+  IdentityTracker tracker;
+  CHECK(Accepts(&tracker, Heartbeat(2600, 7)));
+  CHECK(tracker.current()->order.value == 2600);
+  CHECK(tracker.OnKnownRecord(Record(2600, true, 5001), kNowMs, kNow));
+  CHECK(tracker.current()->order.value == 5001);
+  CHECK(tracker.current()->draining);
+  // An order from the future would keep out all later upstreams.
+  CHECK_FALSE(
+      tracker.OnKnownRecord(Record(2600, true, kNowMs + 60001), kNowMs, kNow));
+}
+
+// The clock of another machine had the same address before and was ahead:
+// during an outage of the store the upstream got no flows.
+TEST_CASE(
+    "identity_tracker: an upstream is later than one of another service at the "
+    "same address") {
+  IdentityTracker tracker("evidencia");
+  UpstreamHeartbeat heartbeat = Heartbeat(2600, 1);
+  heartbeat.identity.service = "evidencia";
+  CHECK(Accepts(&tracker, heartbeat));
+  CHECK(tracker.OnRecordOfOtherService(Record(5000, false), kNowMs));
+  CHECK(tracker.current()->order.value == 5001);
+  CHECK_FALSE(tracker.OnRecordOfOtherService(Record(5000, false), kNowMs));
+}
+
 // The address of an upstream was reused by another service: its sidecar found
 // the record of the earlier service and, since it did not trust the order of
 // the start times, delivered packets of unknown flows to find out.
--- a/packages/connection/test/record_book_test.cc
+++ b/packages/connection/test/record_book_test.cc
@@ -82,6 +82,71 @@
   CHECK(book.Records().front().draining);
 }
 
+version::UpstreamRecord WithOrder(version::UpstreamRecord record,
+                                  uint64_t order) {
+  record.order = {order};
+  return record;
+}
+
+// An upstream that started with the clock stepped back while the store was
+// unavailable got no flows until the store was back.
+TEST_CASE("record_book: the order of starts decides, not the start time") {
+  RecordBook book;
+  book.OnStoreRecords(std::vector{Record(1, 5000)}, kNow, kNow);
+  CHECK(book.OnAnnouncedRecord(Record(1, 5000, true), kNow));
+  CHECK(book.OnAnnouncedRecord(WithOrder(Record(1, 2600), 5001), kNow));
+  CHECK(book.Records().front().incarnation_ms == 2600);
+  // Late and repeated announcements of the ended upstream change nothing.
+  CHECK_FALSE(book.OnAnnouncedRecord(Record(1, 5000), kNow));
+  CHECK_FALSE(book.OnAnnouncedRecord(Record(1, 5000, true), kNow));
+  CHECK(book.Records().front().incarnation_ms == 2600);
+  CHECK_FALSE(book.Records().front().draining);
+  // Nor does the list of a store that has not got the record yet.
+  book.OnStoreRecords(std::vector{Record(1, 5000)}, kNow, kNow);
+  CHECK(book.Records().front().incarnation_ms == 2600);
+  // The next start has a later time again.
+  CHECK(book.OnAnnouncedRecord(Record(1, 9000), kNow));
+  CHECK(book.Records().front().incarnation_ms == 9000);
+}
+
+// A sidecar process that could not read the store announces its upstream's
+// drain without the order that its predecessor had given it.
+TEST_CASE("record_book: a drain is accepted whatever its order is") {
+  RecordBook book;
+  book.OnStoreRecords(std::vector{WithOrder(Record(1, 2600), 5001)}, kNow,
+                      kNow);
+  CHECK_FALSE(book.OnAnnouncedRecord(Record(1, 2600), kNow));
+  CHECK(book.OnAnnouncedRecord(Record(1, 2600, true), kNow));
+  CHECK(book.Records().front().draining);
+  CHECK(book.Records().front().order.value == 5001);
+  // A drain is not cancelled by a larger order of the same start.
+  CHECK_FALSE(book.OnAnnouncedRecord(WithOrder(Record(1, 2600), 6000), kNow));
+  // The repeated announcement keeps the record from expiring.
+  book.OnAnnouncedRecord(Record(1, 2600, true), kNow + milliseconds(1500));
+  book.OnStoreRecords({}, kNow + milliseconds(3000), kNow + milliseconds(3000));
+  CHECK(book.Records().size() == 1);
+}
+
+// Guards against a sidecar that announces a record without effect for the rest
+// of an outage.
+TEST_CASE("record_book: finds the later record that is in use instead") {
+  RecordBook book;
+  CHECK_FALSE(book.FindLater(Record(1, 2600)));
+  book.OnStoreRecords(std::vector{Record(1, 5000)}, kNow, kNow);
+  CHECK_FALSE(book.OnAnnouncedRecord(Record(1, 2600), kNow));
+  CHECK(book.FindLater(Record(1, 2600)) == Record(1, 5000));
+  CHECK_FALSE(book.FindLater(Record(1, 5000)));
+  CHECK_FALSE(book.FindLater(Record(1, 5000, true)));
+  CHECK_FALSE(book.FindLater(Record(1, 7000)));
+  // Another start with the same time, and the same start with an order.
+  auto other = Record(1, 5000);
+  other.instance = "i-other";
+  CHECK(book.FindLater(other));
+  book.OnStoreRecords(std::vector{WithOrder(Record(1, 2600), 5001)}, kNow,
+                      kNow);
+  CHECK(book.FindLater(Record(1, 2600)));
+}
+
 // A record with an incarnation far ahead was kept for ever, in place of that of
 // every later upstream of its sidecar.
 TEST_CASE(
--- a/packages/connection/test/upstream_gate_test.cc
+++ b/packages/connection/test/upstream_gate_test.cc
@@ -76,8 +76,19 @@
     AnnounceIdentity(incarnation_ms);
   }
 
-  void AnnounceIdentity(uint64_t incarnation_ms, bool draining = false) {
-    gate.OnIdentity({"patio", "i-1", incarnation_ms, 2, draining}, now);
+  // An upstream that started after the sidecar replaced one that sent it
+  // heartbeats.
+  void AnnounceIdentity(uint64_t incarnation_ms, bool draining = false,
+                        uint32_t slots = 2) {
+    UpstreamIdentity identity{"patio", "i-1", incarnation_ms, slots, draining};
+    identity.started_after_sidecar = incarnation_ms >= kSidecarStart;
+    gate.OnIdentity(identity, now);
+  }
+  // The heartbeats of the upstream are the first ones that this process gets.
+  void AnnounceNewIdentity(uint64_t incarnation_ms) {
+    UpstreamIdentity identity{"patio", "i-1", incarnation_ms, 2, false};
+    identity.is_new = true;
+    gate.OnIdentity(identity, now);
   }
 
   static request::FlowKey Key(uint16_t port) {
@@ -159,7 +170,7 @@
 
   Sink sink;
   TimePoint now{std::chrono::hours(1)};
-  UpstreamGate<Sink> gate{"patio", kSidecarStart, &sink};
+  UpstreamGate<Sink> gate{"patio", &sink};
 };
 
 TEST_CASE("upstream_gate: a packet for another service is not delivered") {
@@ -363,7 +374,7 @@
     "although earlier first packets got no response") {
   Sink sink;
   TimePoint now{std::chrono::hours(1)};
-  UpstreamGate<Sink> gate{"patio", kSidecarStart, &sink};
+  UpstreamGate<Sink> gate{"patio", &sink};
   Fixture packets;
   request::HopMessage message;
   message.kind = HopKind::kPacket;
@@ -470,7 +481,7 @@
 
 TEST_CASE("upstream_gate: a long list is sent in several parts") {
   Fixture f;
-  f.gate.OnIdentity({"patio", "i-1", kStartedAfterSidecar, 1000, false}, f.now);
+  f.AnnounceIdentity(kStartedAfterSidecar, false, 1000);
   for (uint16_t port = 1; port <= 601; ++port) {
     f.ReceiveFromCaller(f.CallerSyn(port));
   }
@@ -661,7 +672,8 @@
 TEST_CASE(
     "upstream_gate: a sidecar that started shortly after its upstream has seen "
     "every flow") {
-  Fixture f(kSidecarStart - 500);
+  Fixture f(kStartedBeforeSidecar);
+  f.AnnounceNewIdentity(kSidecarStart - 500);
   // The store has the upstream from before the power failure.
   f.gate.OnStoredIncarnation(kStartedBeforeSidecar);
   f.QueryHolder(1);
@@ -678,7 +690,8 @@
   // With the sidecar's clock stepped back the upstream seems to be the later
   // one.
   for (const uint64_t start : {kSidecarStart - 500, kStartedAfterSidecar}) {
-    Fixture f(start);
+    Fixture f(kStartedBeforeSidecar);
+    f.AnnounceNewIdentity(start);
     f.gate.OnStoredIncarnation(start);
     f.QueryHolder(1);
     CHECK(f.sink.count(HopKind::kInconclusive) == 1);
@@ -695,7 +708,8 @@
 TEST_CASE(
     "upstream_gate: a sidecar that started shortly after its upstream draws no "
     "conclusion before the store was read") {
-  Fixture f(kSidecarStart - 500);
+  Fixture f(kStartedBeforeSidecar);
+  f.AnnounceNewIdentity(kSidecarStart - 500);
   f.QueryHolder(1);
   CHECK(f.sink.count(HopKind::kInconclusive) == 1);
   f.gate.OnStoredIncarnation(0);
@@ -703,6 +717,21 @@
   CHECK(f.sink.count(HopKind::kNotHeld) == 1);
 }
 
+// With the store unavailable, a sidecar that restarted after its clock was
+// stepped back took its upstream for the later one and denied its flows.
+TEST_CASE(
+    "upstream_gate: start times prove nothing about the flows of an upstream") {
+  Fixture f(kStartedBeforeSidecar);
+  f.gate.OnIdentity({"patio", "i-2", kStartedAfterSidecar, 2, false}, f.now);
+  f.QueryHolder(1);
+  CHECK(f.sink.count(HopKind::kInconclusive) == 1);
+  // The record of an earlier upstream does not show when this one started.
+  f.gate.OnStoredIncarnation(kStartedBeforeSidecar);
+  f.QueryHolder(1);
+  CHECK(f.sink.count(HopKind::kInconclusive) == 2);
+  CHECK(f.sink.count(HopKind::kNotHeld) == 0);
+}
+
 TEST_CASE("upstream_gate: the upstream is probed only once about a flow") {
   Fixture f(kStartedBeforeSidecar);
   f.ReceiveFromCaller(f.CallerData(1));
--- a/packages/process/include/kumquatvalve/process/entry_knowledge.h
+++ b/packages/process/include/kumquatvalve/process/entry_knowledge.h
@@ -76,9 +76,11 @@
 
   /// Adds a record that a sidecar announced because it cannot write it to the
   /// store.
+  /// @param later_record set to the record in use when the announced one is not
+  ///   used since it is of an earlier start; otherwise unchanged.
   /// @return false and sets `failure` when the record cannot be read.
   bool OnAnnouncedRecord(const std::string& body, TimePoint now,
-                         request::Failure* failure);
+                         std::string* later_record, request::Failure* failure);
 
   /// Merges the configuration and records of another entry instance.
   void OnPeerSnapshot(const PeerSnapshot& snapshot, TimePoint now);
--- a/packages/process/include/kumquatvalve/process/peer_client.h
+++ b/packages/process/include/kumquatvalve/process/peer_client.h
@@ -29,9 +29,13 @@
   std::optional<PeerSnapshot> FetchSnapshot(request::Failure* failure);
 
   /// Sends a record to all peers, one after the other.
-  /// @return the number of peers that accepted it; `failure` is that of the
+  /// @param later_records receives the records of later starts that peers use
+  ///   instead.
+  /// @return the number of peers that received it; `failure` is that of the
   ///   last peer that did not.
-  size_t SendRecord(const std::string& record, request::Failure* failure) const;
+  size_t SendRecord(const std::string& record,
+                    std::vector<std::string>* later_records,
+                    request::Failure* failure) const;
 
  private:
   std::vector<request::Endpoint> peers_;
--- a/packages/process/include/kumquatvalve/process/peer_server.h
+++ b/packages/process/include/kumquatvalve/process/peer_server.h
@@ -14,14 +14,17 @@
 
 /// HTTP server of an entry instance for peers and sidecars that cannot reach
 /// the store: GET /snapshot returns the configuration and upstream records,
-/// POST /record announces a record.
+/// POST /record announces a record and returns a later one that is in use
+/// instead.
 class PeerServer {
  public:
   /// The functions are called on the server's thread.
   struct Handlers {
     std::function<PeerSnapshot()> snapshot;
-    /// Returns false and sets `failure` when the record cannot be read.
-    std::function<bool(const std::string& record, request::Failure* failure)>
+    /// Returns false and sets `failure` when the record cannot be read. Sets
+    /// `later_record` when it is of an earlier start than the record in use.
+    std::function<bool(const std::string& record, std::string* later_record,
+                       request::Failure* failure)>
         record;
     /// A handler threw an exception with this text.
     std::function<void(const std::string&)> failed;
--- a/packages/process/include/kumquatvalve/process/sidecar_node.h
+++ b/packages/process/include/kumquatvalve/process/sidecar_node.h
@@ -114,18 +114,17 @@
   using Clock = std::chrono::steady_clock;
 
   /// `logger` must outlive the node.
-  /// @param started_ms start time of the process, Unix milliseconds.
   /// @param on_record_missing called by the traffic thread when the store may
   ///   have lost the sidecar's record: an entry instance did not find it there,
   ///   or no entry instance sent a message for `kEntryContactTimeout`.
-  SidecarNode(const version::NodeSettings& settings, uint64_t started_ms,
-              const Logger* logger, std::function<void()> on_record_missing)
+  SidecarNode(const version::NodeSettings& settings, const Logger* logger,
+              std::function<void()> on_record_missing)
       : settings_(settings),
         on_record_missing_(std::move(on_record_missing)),
         output_(settings, logger),
         guard_("traffic", logger,
                [this] { output_.metrics().OnUnexpectedError(); }),
-        gate_(settings.upstream->service.text(), started_ms, &output_) {}
+        gate_(settings.upstream->service.text(), &output_) {}
 
   /// Binds the sockets; to be called before `Run`.
   /// @return false and `kSocketError` when an endpoint cannot be bound.
--- a/packages/process/src/entry_knowledge.cc
+++ b/packages/process/src/entry_knowledge.cc
@@ -63,6 +63,7 @@
 }
 
 bool EntryKnowledge::OnAnnouncedRecord(const std::string& body, TimePoint now,
+                                       std::string* later_record,
                                        request::Failure* failure) {
   const auto record = codec_.read_record(body, failure);
   if (!record) {
@@ -76,6 +77,11 @@
     if (records_known_) {
       PublishRecords();
     }
+  } else if (const auto later = records_.FindLater(*record)) {
+    *later_record = codec_.write_record(*later).body;
+    logger_->Log(LogLevel::kInfo, LogEvent::kPeerTold,
+                 "ignored the record of an earlier start from a sidecar",
+                 {{"record", body}, {"later_record", *later_record}});
   }
   return true;
 }
--- a/packages/process/src/peer_client.cc
+++ b/packages/process/src/peer_client.cc
@@ -66,19 +66,23 @@
 }
 
 size_t PeerClient::SendRecord(const std::string& record,
+                              std::vector<std::string>* later_records,
                               request::Failure* failure) const {
-  size_t accepted = 0;
+  size_t received = 0;
   for (const request::Endpoint& peer : peers_) {
     httplib::Client client = Connect(peer);
     const httplib::Result result =
         client.Post("/record", record, "application/json");
     if (result && result->status == kOk) {
-      ++accepted;
+      ++received;
+      if (result->get_header_value("Content-Type") == "application/json") {
+        later_records->push_back(result->body);
+      }
     } else {
       *failure = RequestFailure(peer, result);
     }
   }
-  return accepted;
+  return received;
 }
 
 }  // namespace kumquatvalve::process
--- a/packages/process/src/peer_server.cc
+++ b/packages/process/src/peer_server.cc
@@ -42,10 +42,16 @@
     listener_.http().Post("/record", [this](const httplib::Request& request,
                                             httplib::Response& response) {
       request::Failure failure;
-      const bool accepted = handlers_.record(request.body, &failure);
-      response.status = accepted ? kOk : kBadRequest;
-      response.set_content(accepted ? "ok\n" : ToString(failure) + "\n",
-                           "text/plain");
+      std::string later_record;
+      const bool readable =
+          handlers_.record(request.body, &later_record, &failure);
+      response.status = readable ? kOk : kBadRequest;
+      if (!later_record.empty()) {
+        response.set_content(later_record, "application/json");
+      } else {
+        response.set_content(readable ? "ok\n" : ToString(failure) + "\n",
+                             "text/plain");
+      }
     });
   }
 
--- a/packages/process/test/entry_knowledge_test.cc
+++ b/packages/process/test/entry_knowledge_test.cc
@@ -136,13 +136,14 @@
   Fixture f;
   f.knowledge.OnStoredRecords({}, f.now, f.now);
   Failure failure;
-  CHECK(f.knowledge.OnAnnouncedRecord("10.0.0.2", f.now, &failure));
+  std::string later;
+  CHECK(f.knowledge.OnAnnouncedRecord("10.0.0.2", f.now, &later, &failure));
   REQUIRE(f.upstreams.size() == 2);
   CHECK(f.upstreams[1].size() == 1);
   // A repeated announcement publishes nothing.
-  CHECK(f.knowledge.OnAnnouncedRecord("10.0.0.2", f.now, &failure));
+  CHECK(f.knowledge.OnAnnouncedRecord("10.0.0.2", f.now, &later, &failure));
   CHECK(f.upstreams.size() == 2);
-  CHECK_FALSE(f.knowledge.OnAnnouncedRecord("bad", f.now, &failure));
+  CHECK_FALSE(f.knowledge.OnAnnouncedRecord("bad", f.now, &later, &failure));
   CHECK(failure.code == request::ResultCode::kWrongType);
 }
 
@@ -152,7 +153,8 @@
     "entry_knowledge: an announcement alone does not complete the state") {
   Fixture f;
   Failure failure;
-  CHECK(f.knowledge.OnAnnouncedRecord("10.0.0.2", f.now, &failure));
+  std::string later;
+  CHECK(f.knowledge.OnAnnouncedRecord("10.0.0.2", f.now, &later, &failure));
   CHECK(f.upstreams.empty());
   f.knowledge.OnStoredRecords({{"u/10.0.0.1", RecordObject("10.0.0.1")}}, f.now,
                               f.now);
--- a/packages/process/test/peer_client_test.cc
+++ b/packages/process/test/peer_client_test.cc
@@ -27,12 +27,15 @@
 
   PeerSnapshot snapshot;
   std::vector<std::string> records;
-  PeerServer server{{[this] { return snapshot; },
-                     [this](const std::string& record, Failure* failure) {
-                       *failure = {ResultCode::kWrongType, "scripted"};
-                       records.push_back(record);
-                       return record != "bad";
-                     }}};
+  std::string later_record;
+  PeerServer server{
+      {[this] { return snapshot; },
+       [this](const std::string& record, std::string* later, Failure* failure) {
+         *failure = {ResultCode::kWrongType, "scripted"};
+         records.push_back(record);
+         *later = later_record;
+         return record != "bad";
+       }}};
 };
 
 TEST_CASE("peer_client: an unchanged snapshot is not fetched again") {
@@ -70,11 +73,27 @@
   const PeerClient client(
       {Loopback(1), Loopback(f.server.port()), Loopback(other.server.port())});
   Failure failure;
-  CHECK(client.SendRecord("record", &failure) == 2);
+  std::vector<std::string> later;
+  CHECK(client.SendRecord("record", &later, &failure) == 2);
   CHECK(failure.code == ResultCode::kBadAnswer);
   CHECK(f.records == std::vector<std::string>{"record"});
   CHECK(other.records == std::vector<std::string>{"record"});
-  CHECK(client.SendRecord("bad", &failure) == 0);
+  CHECK(client.SendRecord("bad", &later, &failure) == 0);
+  CHECK(later.empty());
+}
+
+// A sidecar that restarted during an outage of the store did not learn that its
+// upstream's record counted as an earlier one.
+TEST_CASE("peer_client: a peer returns the record of a later start") {
+  Fixture f;
+  Fixture other;
+  other.later_record = R"({"instance":"i-2"})";
+  const PeerClient client(
+      {Loopback(f.server.port()), Loopback(other.server.port())});
+  Failure failure;
+  std::vector<std::string> later;
+  CHECK(client.SendRecord("record", &later, &failure) == 2);
+  CHECK(later == std::vector<std::string>{other.later_record});
 }
 
 TEST_CASE("peer_snapshot: text that is not a snapshot is an error") {
--- a/packages/version/include/kumquatvalve/version/route_map.h
+++ b/packages/version/include/kumquatvalve/version/route_map.h
@@ -1,6 +1,7 @@
 #ifndef KUMQUATVALVE_VERSION_ROUTE_MAP_H_
 #define KUMQUATVALVE_VERSION_ROUTE_MAP_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -10,6 +11,7 @@
 #include "kumquatvalve/request/endpoint.h"
 #include "kumquatvalve/request/hop_message.h"
 #include "kumquatvalve/request/ids.h"
+#include "kumquatvalve/request/start_order.h"
 
 namespace kumquatvalve::version {
 
@@ -77,6 +79,9 @@
   std::string instance;
   /// Start time of the upstream, Unix time in milliseconds.
   uint64_t incarnation_ms = 0;
+  /// Position of this start among those of the sidecar's upstreams; 0 when that
+  /// is `incarnation_ms`, see `OrderOf`.
+  request::StartOrder order;
   /// Number of requests that the upstream processes concurrently.
   uint32_t slots = 0;
   bool draining = false;
@@ -85,6 +90,18 @@
                          const UpstreamRecord&) = default;
 };
 
+/// Returns the position of the record's upstream among the starts of the
+/// sidecar's upstreams.
+inline request::StartOrder OrderOf(const UpstreamRecord& record) {
+  return std::max(record.order, request::StartOrder{record.incarnation_ms});
+}
+
+/// Whether both records describe the same start of an upstream.
+inline bool IsSameStart(const UpstreamRecord& a, const UpstreamRecord& b) {
+  return a.sidecar == b.sidecar && a.service == b.service &&
+         a.instance == b.instance && a.incarnation_ms == b.incarnation_ms;
+}
+
 }  // namespace kumquatvalve::version
 
 #endif  // KUMQUATVALVE_VERSION_ROUTE_MAP_H_
