Keep idle flows of an earlier service when every process was restarted

Callers saw resets of all their idle flows when a route had got another service and then the sidecars and entry instances were restarted in turn, as a rolling upgrade does, while the upstreams held the flows.

Cause: a restarted sidecar cannot know the idle flows of its upstream and replies so. A restarted entry instance did not know that the address had had this sidecar's service, could not probe its upstream, and counted the reply as "not held".

Change: entry instances pass on the earlier services of addresses. One that starts asks its peers once (connection/address_history, GET /address-history), and probes as one that saw the change. Where no peer knows, a flow is not taken for lost while a sidecar of another service cannot know it. A sidecar that has run for 60 s knows every flow that has to be retained.

Test changed: "upstreams of a service that the address is not known to be routed to are not probed" expected a reset from an instance that had just started, which was the wrong conclusion of this fault. It expects none while the history is incomplete, and one as soon as it is complete.

After a kill of all at once nothing is reset, but the flows stay silent until the sidecars have run for 60 s.

--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -7,7 +7,6 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <optional>
 #include <span>
@@ -15,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "kumquatvalve/connection/address_history.h"
 #include "kumquatvalve/connection/admission_policy.h"
 #include "kumquatvalve/connection/entry_decision.h"
 #include "kumquatvalve/connection/flow_locator.h"
@@ -59,17 +59,23 @@
 
   /// Applies a version of the routes unless it is older than the current one.
   /// @return whether it was applied.
-  bool OnRoutes(std::shared_ptr<const version::RouteMap> routes) {
+  bool OnRoutes(std::shared_ptr<const version::RouteMap> routes,
+                TimePoint now) {
     if (routes_ != nullptr && routes->revision < routes_->revision) {
       return false;
     }
-    if (routes_ != nullptr) {
-      AddEarlierServices(*routes_);
-    }
+    history_.OnRoutes(routes_.get(), *routes, now);
     routes_ = std::move(routes);
     return true;
   }
 
+  /// Merges what another entry instance knows about earlier services of
+  /// addresses.
+  void OnAddressHistory(const AddressHistoryReport& report, TimePoint now) {
+    history_.OnReport(report, now);
+    locator_.OnAddressHistory(now);
+  }
+
   /// The routes include every version that the store had accepted by
   /// `complete_at`. An open flow without a route is reset only when they are at
   /// least as new as its packet.
@@ -171,6 +177,7 @@
     if (now >= next_sweep_at_) {
       next_sweep_at_ = now + kSweepInterval;
       ExpireFlows(now);
+      history_.Expire(now);
       for (const auto& it : stale_records_.FindStale(upstreams_, now)) {
         sink_->RemoveRecord(it);
       }
@@ -183,6 +190,7 @@
   size_t flows() const { return flows_.size(); }
   const version::RouteMap* routes() const { return routes_.get(); }
   const UpstreamSet& upstreams() const { return upstreams_; }
+  const AddressHistory& address_history() const { return history_; }
 
  private:
   // Implements `LocatorHost` for the router's locator.
@@ -194,6 +202,9 @@
         const request::Endpoint& address) const {
       return router_->SidecarsForAddress(address);
     }
+    bool KnowsEarlierServices(TimePoint now) const {
+      return router_->history_.IsComplete(now);
+    }
     bool IsRouted(const request::Endpoint& address) const {
       return router_->routes_->Find(address) != nullptr;
     }
@@ -313,19 +324,6 @@
     return view == nullptr ? request::ServiceTag() : view->tag();
   }
 
-  // Adds the services of a replaced version of the routes: their upstreams may
-  // still hold flows.
-  void AddEarlierServices(const version::RouteMap& routes) {
-    for (const auto& [address, route] : routes.routes) {
-      std::vector<request::ServiceTag>& tags = earlier_services_[address];
-      for (const version::RouteShare& it : route.shares) {
-        if (std::find(tags.begin(), tags.end(), it.tag) == tags.end()) {
-          tags.push_back(it.tag);
-        }
-      }
-    }
-  }
-
   void RecordVerdict(
       EntryVerdict verdict, const request::FlowKey& flow,
       const version::Route* route,
@@ -548,11 +546,7 @@
   // Services that an address is or was routed to.
   std::vector<request::ServiceTag> TagsForAddress(
       const request::Endpoint& address) const {
-    std::vector<request::ServiceTag> tags;
-    if (const auto it = earlier_services_.find(address);
-        it != earlier_services_.end()) {
-      tags = it->second;
-    }
+    std::vector<request::ServiceTag> tags = history_.ServicesOf(address);
     if (const version::Route* route = routes_->Find(address)) {
       for (const version::RouteShare& it : route->shares) {
         tags.push_back(it.tag);
@@ -671,9 +665,7 @@
   uint64_t random_;
   S* sink_;
   std::shared_ptr<const version::RouteMap> routes_;
-  /// Services that replaced versions of the routes had for an address.
-  std::map<request::Endpoint, std::vector<request::ServiceTag>>
-      earlier_services_;
+  AddressHistory history_;
   UpstreamSet upstreams_;
   absl::flat_hash_map<request::FlowKey, Flow, request::FlowKeyHash> flows_;
   HelloSchedule hello_schedule_;
--- a/packages/connection/include/kumquatvalve/connection/flow_locator.h
+++ b/packages/connection/include/kumquatvalve/connection/flow_locator.h
@@ -35,6 +35,9 @@
     host.SidecarsForAddress(endpoint)
     } -> std::same_as<std::vector<request::Endpoint>>;
   { host.AllSidecars() } -> std::same_as<std::vector<request::Endpoint>>;
+  // Whether `SidecarsForAddress` leaves out no service that an address was
+  // routed to within the time for which flows have to be retained.
+  { host.KnowsEarlierServices(now) } -> std::same_as<bool>;
   // Whether the routes in force have the service address.
   { host.IsRouted(endpoint) } -> std::same_as<bool>;
   { host.IsPresumedDead(endpoint, now) } -> std::same_as<bool>;
@@ -64,7 +67,9 @@
 /// another service and then the entry instances are restarted, so that none
 /// knows the service of the flows that were opened before. Before a flow is
 /// taken for lost, the sidecars of all services are therefore queried; their
-/// upstreams get no packet of it. Not thread-safe.
+/// upstreams get no packet of it. When the sidecars were restarted too, they
+/// may not know either: until it is known which services the address had, such
+/// a flow is not taken for lost. Not thread-safe.
 template <typename H>
 class FlowLocator {
  public:
@@ -172,6 +177,9 @@
     ContinueSearches(now);
   }
 
+  /// More is known about earlier services of addresses.
+  void OnAddressHistory(TimePoint now) { ContinueSearches(now); }
+
   /// Sets whether the other entry instances have been asked for their records
   /// since this process started, or need not be asked. Until then no flow is
   /// taken for lost. Initially true.
@@ -461,6 +469,9 @@
       return;
     }
     const SidecarList own = host_->SidecarsForAddress(packet->flow.service);
+    for (const request::Endpoint& it : own) {
+      search->AllowProbing(it);
+    }
     for (const request::Endpoint& it :
          SidecarsFor(*search, packet->flow.service)) {
       if (search->WasQueried(it)) {
@@ -508,6 +519,11 @@
       host_->AskPeers();
       return;
     }
+    if (it->second.HasUncertainReply() && !host_->KnowsEarlierServices(now)) {
+      // The search ends after `kSearchTimeout`; the caller's next packet starts
+      // another one.
+      return;
+    }
     AddLostFlow(it->first, now);
     searches_.erase(it);
     if (const auto packet = host_->Parse(bytes)) {
--- a/packages/connection/include/kumquatvalve/connection/flow_search.h
+++ b/packages/connection/include/kumquatvalve/connection/flow_search.h
@@ -56,6 +56,10 @@
   void MarkQueried(const request::Endpoint& sidecar, TimePoint now,
                    Probing probing = Probing::kAllowed);
 
+  /// The upstream of a queried sidecar is known to be of a service of the
+  /// flow's address now, and may be probed.
+  void AllowProbing(const request::Endpoint& sidecar);
+
   /// From now on the sidecars of all services are queried.
   void Widen() { widened_ = true; }
   bool widened() const { return widened_; }
@@ -63,7 +67,8 @@
   /// The sidecar replied that its upstream does not hold the flow.
   void OnNotHeld(const request::Endpoint& sidecar);
   /// The sidecar replied that it cannot know whether its upstream holds the
-  /// flow, which counts as not held when the upstream must not be probed.
+  /// flow. When the upstream must not be probed, it counts as one that does not
+  /// hold the flow, see `HasUncertainReply`.
   void OnInconclusive(const request::Endpoint& sidecar);
 
   /// What to do next. Missing replies delay probes by at most `kReplyTimeout`,
@@ -75,6 +80,10 @@
   /// probed; their replies are pending from now on.
   std::vector<request::Endpoint> TakeSidecarsToProbe();
 
+  /// Whether a sidecar whose upstream must not be probed could not say that the
+  /// flow is not held there: its reply was inconclusive or is missing.
+  bool HasUncertainReply() const;
+
   bool HasQueries() const { return !queries_.empty(); }
   bool WasQueried(const request::Endpoint& sidecar) const {
     return queries_.contains(sidecar);
@@ -102,7 +111,14 @@
   static constexpr std::chrono::milliseconds kOtherServiceTimeout{1500};
 
  private:
-  enum class State { kQueried, kInconclusive, kProbed, kNotHeld };
+  enum class State {
+    kQueried,
+    kInconclusive,
+    kProbed,
+    kNotHeld,
+    /// The reply was inconclusive and the upstream must not be probed.
+    kUncertain,
+  };
 
   struct Query {
     State state = State::kQueried;
--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -216,6 +216,8 @@
   /// Runs timeouts and sends due load reports; has to be called at least every
   /// `kTick`.
   void OnTick(TimePoint now) {
+    first_tick_at_ = first_tick_at_.value_or(now);
+    ran_for_idle_ttl_ = now - *first_tick_at_ >= kIdleFlowTtl;
     CheckResponsiveness(now);
     AdmitWaiting(now);
     RefreshServiceTime(now);
@@ -330,10 +332,11 @@
   };
 
   // Whether this process has seen every flow of the upstream's current
-  // incarnation, so that the upstream holds no others. Start times prove
-  // nothing, since the time of day may have been stepped between them.
+  // incarnation that has to be retained, so that the upstream holds no others.
+  // Start times prove nothing, since the time of day may have been stepped
+  // between them.
   bool SawAllFlows() const {
-    return identity_.started_after_sidecar ||
+    return ran_for_idle_ttl_ || identity_.started_after_sidecar ||
            (identity_.is_new && stored_incarnation_ms_ &&
             *stored_incarnation_ms_ != identity_.incarnation_ms);
   }
@@ -821,6 +824,10 @@
   S* sink_;
   request::UpstreamLoad load_;
   ServiceTimeEstimate service_time_;
+  std::optional<TimePoint> first_tick_at_;
+  /// Flows that were opened before this process started have been idle for
+  /// `kIdleFlowTtl`, or one of their packets has added them to `flows_`.
+  bool ran_for_idle_ttl_ = false;
   /// See `OnStoredIncarnation`; empty until then.
   std::optional<uint64_t> stored_incarnation_ms_;
   absl::flat_hash_map<request::FlowKey, Flow, request::FlowKeyHash> flows_;
--- a/packages/connection/src/flow_search.cc
+++ b/packages/connection/src/flow_search.cc
@@ -30,10 +30,29 @@
   if (it != queries_.end() && it->second.state == State::kQueried) {
     it->second.state = it->second.probing == Probing::kAllowed
                            ? State::kInconclusive
-                           : State::kNotHeld;
+                           : State::kUncertain;
   }
 }
 
+void FlowSearch::AllowProbing(const request::Endpoint& sidecar) {
+  const auto it = queries_.find(sidecar);
+  if (it == queries_.end() || it->second.probing == Probing::kAllowed) {
+    return;
+  }
+  it->second.probing = Probing::kAllowed;
+  if (it->second.state == State::kUncertain) {
+    it->second.state = State::kInconclusive;
+  }
+}
+
+bool FlowSearch::HasUncertainReply() const {
+  return std::any_of(queries_.begin(), queries_.end(), [](const auto& it) {
+    const Query& query = it.second;
+    return query.probing == Probing::kForbidden &&
+           (query.state == State::kUncertain || query.state == State::kQueried);
+  });
+}
+
 bool FlowSearch::IsAwaited(const Query& query, TimePoint now) {
   switch (query.state) {
     case State::kQueried:
@@ -43,6 +62,7 @@
       return true;
     case State::kInconclusive:
     case State::kNotHeld:
+    case State::kUncertain:
       return false;
   }
   return false;
@@ -56,7 +76,9 @@
   for (const auto& [sidecar, query] : queries_) {
     awaited += IsAwaited(query, now) && !is_dead(sidecar) ? 1 : 0;
     inconclusive += query.state == State::kInconclusive ? 1 : 0;
-    not_held += query.state == State::kNotHeld ? 1 : 0;
+    not_held +=
+        query.state == State::kNotHeld || query.state == State::kUncertain ? 1
+                                                                           : 0;
   }
   if (inconclusive > 0) {
     const bool timed_out = now - last_query_at_ >= kReplyTimeout;
--- a/packages/connection/test/entry_router_test.cc
+++ b/packages/connection/test/entry_router_test.cc
@@ -105,7 +105,7 @@
   Fixture(std::shared_ptr<const version::RouteMap> routes,
           std::vector<version::UpstreamRecord> initial_records)
       : records(std::move(initial_records)), initial_sidecars(records.size()) {
-    router.OnRoutes(std::move(routes));
+    router.OnRoutes(std::move(routes), now);
     router.OnUpstreamRecords(records, now, now);
     for (size_t i = 0; i < records.size(); ++i) {
       ReportLoad(static_cast<int>(i) + 1, {},
@@ -228,7 +228,7 @@
   f.ReceiveData(1);
   auto empty = std::make_shared<version::RouteMap>();
   empty->revision = 2;
-  f.router.OnRoutes(empty);
+  f.router.OnRoutes(empty, f.now);
   const size_t before = f.sink.SentOfKind(HopKind::kPacket).size();
   f.ReceiveData(1);
   CHECK(f.sink.resets.size() == 1);
@@ -280,7 +280,7 @@
   auto routes = Routes(2);
   routes->routes[f.UnroutedData(1).flow.service] =
       routes->routes.at(kServiceAddress);
-  f.router.OnRoutes(routes);
+  f.router.OnRoutes(routes, f.now);
   f.AdvanceTime(milliseconds(200));
   CHECK(f.sink.SentOfKind(HopKind::kLocate).size() >= 3);
   request::HopMessage held;
@@ -390,8 +390,8 @@
 
 TEST_CASE("entry_router: an older version of the routes is ignored") {
   Fixture f;
-  CHECK(f.router.OnRoutes(Routes(5, "evidencia")));
-  CHECK_FALSE(f.router.OnRoutes(Routes(4, "patio")));
+  CHECK(f.router.OnRoutes(Routes(5, "evidencia"), f.now));
+  CHECK_FALSE(f.router.OnRoutes(Routes(4, "patio"), f.now));
   CHECK(f.router.routes()->revision == 5);
 }
 
@@ -799,6 +799,77 @@
   f.router.OnUpstreamRecords(f.records, f.now, f.now);
   f.AdvanceTime(milliseconds(400));
   CHECK(f.sink.SentOfKind(HopKind::kPacket).empty());
+  CHECK(f.sink.resets.empty());
+  // Another instance knows that the address had no other service.
+  f.router.OnAddressHistory({std::chrono::seconds(61), {}}, f.now);
+  CHECK(f.sink.SentOfKind(HopKind::kPacket).empty());
+  CHECK(f.sink.resets.size() == 1);
+}
+
+// A route got another service, then all sidecars and all entry instances were
+// restarted in turn: idle flows of the earlier service were reset, although
+// their upstreams held them.
+TEST_CASE(
+    "entry_router: a flow is not lost while a restarted sidecar of another "
+    "service cannot know it") {
+  RestartedInstance f;
+  f.ReceiveData(1);
+  f.ReceiveMessage(3, HopKind::kNotHeld, 1);
+  f.ReceiveMessage(4, HopKind::kNotHeld, 1);
+  f.ReceiveMessage(1, HopKind::kInconclusive, 1);
+  f.ReceiveMessage(2, HopKind::kInconclusive, 1);
+  f.router.OnUpstreamRecords(f.records, f.now, f.now);
+  f.AdvanceTime(milliseconds(400));
+  CHECK(f.sink.resets.empty());
+  // Another instance knows the earlier service: its upstreams may be probed.
+  f.router.OnAddressHistory(
+      {milliseconds(0),
+       {{kServiceAddress, request::ServiceName("patio"), milliseconds(3000)}}},
+      f.now);
+  CHECK(f.WasSent(HopKind::kPacket, 1));
+  CHECK(f.WasSent(HopKind::kPacket, 2));
+  CHECK_FALSE(f.WasSent(HopKind::kPacket, 3));
+  f.ReceiveMessage(1, HopKind::kNotHeld, 1);
+  f.ReceiveMessage(2, HopKind::kHeld, 1);
+  CHECK(f.sink.resets.empty());
+  f.ReceiveData(1);
+  CHECK(f.LastPacket().to == Record(2, "a").sidecar);
+}
+
+// The history arrives before the flow's next packet, as after a restart in
+// turn.
+TEST_CASE(
+    "entry_router: a restarted instance probes the earlier service that "
+    "another instance knows") {
+  RestartedInstance f;
+  f.router.OnAddressHistory(
+      {milliseconds(0),
+       {{kServiceAddress, request::ServiceName("patio"), milliseconds(3000)}}},
+      f.now);
+  f.ReceiveData(1);
+  f.ReceiveMessage(3, HopKind::kNotHeld, 1);
+  f.ReceiveMessage(4, HopKind::kNotHeld, 1);
+  f.ReceiveMessage(1, HopKind::kInconclusive, 1);
+  f.ReceiveMessage(2, HopKind::kInconclusive, 1);
+  CHECK(f.WasSent(HopKind::kPacket, 1));
+  CHECK(f.WasSent(HopKind::kPacket, 2));
+  CHECK(f.sink.resets.empty());
+}
+
+// Guards against callers of lost flows that are left without a reply for good:
+// the sidecars of the other services know all flows after a while.
+TEST_CASE(
+    "entry_router: a lost flow is reset once the history goes back far "
+    "enough") {
+  RestartedInstance f;
+  f.AdvanceTime(milliseconds(60000));
+  f.ReceiveData(1);
+  f.ReceiveMessage(3, HopKind::kNotHeld, 1);
+  f.ReceiveMessage(4, HopKind::kNotHeld, 1);
+  f.ReceiveMessage(1, HopKind::kInconclusive, 1);
+  f.ReceiveMessage(2, HopKind::kInconclusive, 1);
+  f.now += milliseconds(1);
+  f.router.OnUpstreamRecords(f.records, f.now, f.now);
   CHECK(f.sink.resets.size() == 1);
 }
 
@@ -809,7 +880,7 @@
     "arrive") {
   Fixture f;
   EntryRouter<Sink> router{{request::AvailabilityZone("a"), 1000, 1}, &f.sink};
-  router.OnRoutes(Routes(1));
+  router.OnRoutes(Routes(1), f.now);
   auto packet = f.MakePacket(1);
   packet.syn = true;
   router.OnCallerPacket(packet, f.now);
@@ -906,7 +977,7 @@
   Fixture f;
   f.records.push_back(Record(4, "a", "evidencia"));
   f.router.OnUpstreamRecords(f.records, f.now, f.now);
-  f.router.OnRoutes(Routes(2, "evidencia"));
+  f.router.OnRoutes(Routes(2, "evidencia"), f.now);
   f.ReceiveData(1);
   CHECK(f.sink.SentOfKind(HopKind::kLocate).size() == 4);
 }
--- a/packages/connection/test/flow_search_test.cc
+++ b/packages/connection/test/flow_search_test.cc
@@ -62,6 +62,37 @@
   CHECK(f.NextStep() == Step::kNotHeld);
 }
 
+// An inconclusive reply that must not lead to a probe was taken for "not held".
+TEST_CASE("flow_search: a sidecar of another service may not know the flow") {
+  Fixture f(1);
+  f.search.OnNotHeld(Sidecar(1));
+  CHECK_FALSE(f.search.HasUncertainReply());
+  for (int i = 2; i <= 3; ++i) {
+    f.search.MarkQueried(Sidecar(i), f.now, FlowSearch::Probing::kForbidden);
+  }
+  f.search.OnInconclusive(Sidecar(2));
+  f.search.OnNotHeld(Sidecar(3));
+  CHECK(f.NextStep() == Step::kNotHeld);
+  CHECK(f.search.HasUncertainReply());
+  // Its service turns out to be an earlier one of the address.
+  f.search.AllowProbing(Sidecar(2));
+  CHECK_FALSE(f.search.HasUncertainReply());
+  CHECK(f.NextStep() == Step::kProbe);
+  CHECK(f.search.TakeSidecarsToProbe() == std::vector{Sidecar(2)});
+}
+
+TEST_CASE("flow_search: a missing reply of another service is uncertain") {
+  Fixture f(2);
+  f.search.OnNotHeld(Sidecar(1));
+  f.search.OnNotHeld(Sidecar(2));
+  f.search.MarkQueried(Sidecar(3), f.now, FlowSearch::Probing::kForbidden);
+  f.now += milliseconds(1500);
+  CHECK(f.NextStep() == Step::kNotHeld);
+  CHECK(f.search.HasUncertainReply());
+  f.search.OnNotHeld(Sidecar(3));
+  CHECK_FALSE(f.search.HasUncertainReply());
+}
+
 TEST_CASE("flow_search: a reply of a sidecar without a query is ignored") {
   Fixture f(2);
   f.search.OnNotHeld(Sidecar(1));
--- a/packages/connection/test/upstream_gate_test.cc
+++ b/packages/connection/test/upstream_gate_test.cc
@@ -732,6 +732,20 @@
   CHECK(f.sink.count(HopKind::kNotHeld) == 0);
 }
 
+// Guards against searches that stay without a result for as long as an upstream
+// lives whose sidecar was restarted.
+TEST_CASE(
+    "upstream_gate: a sidecar that ran for the idle time of flows has seen all "
+    "of them") {
+  Fixture f(kStartedBeforeSidecar);
+  f.AdvanceTime(milliseconds(59000));
+  f.QueryHolder(1);
+  CHECK(f.sink.count(HopKind::kInconclusive) == 1);
+  f.AdvanceTime(milliseconds(1100));
+  f.QueryHolder(1);
+  CHECK(f.sink.count(HopKind::kNotHeld) == 1);
+}
+
 TEST_CASE("upstream_gate: the upstream is probed only once about a flow") {
   Fixture f(kStartedBeforeSidecar);
   f.ReceiveFromCaller(f.CallerData(1));
--- a/packages/process/include/kumquatvalve/process/entry_node.h
+++ b/packages/process/include/kumquatvalve/process/entry_node.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "kumquatvalve/connection/entry_router.h"
+#include "kumquatvalve/process/address_history_codec.h"
 #include "kumquatvalve/process/decision_log.h"
 #include "kumquatvalve/process/exception_guard.h"
 #include "kumquatvalve/process/node_metrics.h"
@@ -173,6 +174,12 @@
   /// sent were published.
   void PublishPeersAsked(bool asked) { peers_asked_ = asked; }
 
+  /// Hands over what another entry instance knows about earlier services of
+  /// addresses.
+  void PublishAddressHistory(connection::AddressHistoryReport report) {
+    address_history_.Put(std::move(report));
+  }
+
   /// The published routes include every version that the store had accepted by
   /// `complete_at`. To be called after these routes were published.
   void PublishRoutesComplete(Clock::time_point complete_at) {
@@ -203,6 +210,11 @@
   /// traffic thread does not respond in time.
   std::string Status() { return status_request_.Query(); }
 
+  /// Returns what this instance knows about earlier services of addresses, as
+  /// the JSON of `EncodeAddressHistory`; "{}" when the traffic thread does not
+  /// respond in time.
+  std::string AddressHistory() { return history_request_.Query(); }
+
  private:
   using Router = connection::EntryRouter<EntryOutput<F>>;
   using Milliseconds = std::chrono::milliseconds;
@@ -253,6 +265,9 @@
       PublishGauges();
     }
     status_request_.Serve([this] { return StatusJson(); });
+    history_request_.Serve([this] {
+      return EncodeAddressHistory(router_.address_history().Report(now_));
+    });
     output_.Flush();
     if (pause_detector_.CheckForPause(now_, std::chrono::system_clock::now())) {
       output_.Paused();
@@ -308,11 +323,14 @@
     // Taken before the routes, which were published first.
     const auto routes_complete_at = routes_complete_at_.Take();
     if (auto routes = routes_.Take()) {
-      router_.OnRoutes(std::move(*routes));
+      router_.OnRoutes(std::move(*routes), now_);
     }
     if (routes_complete_at) {
       router_.OnRoutesComplete(*routes_complete_at, now_);
     }
+    if (const auto it = address_history_.Take()) {
+      router_.OnAddressHistory(*it, now_);
+    }
     if (const auto it = upstreams_.Take()) {
       router_.OnUpstreamRecords(it->records, it->complete_at, now_);
     }
@@ -356,9 +374,11 @@
   EntryOutput<F> output_;
   ReceiveBatch receive_batch_;
   StatusRequest status_request_;
+  StatusRequest history_request_;
   PauseDetector pause_detector_;
   Mailbox<std::shared_ptr<const version::RouteMap>> routes_;
   Mailbox<Clock::time_point> routes_complete_at_;
+  Mailbox<connection::AddressHistoryReport> address_history_;
   Mailbox<Upstreams> upstreams_;
   std::atomic<bool> has_routes_{false};
   std::atomic<bool> has_upstreams_{false};
--- a/packages/process/include/kumquatvalve/process/peer_server.h
+++ b/packages/process/include/kumquatvalve/process/peer_server.h
@@ -13,7 +13,8 @@
 namespace kumquatvalve::process {
 
 /// HTTP server of an entry instance for peers and sidecars that cannot reach
-/// the store: GET /snapshot returns the configuration and upstream records,
+/// the store: GET /snapshot returns the configuration and upstream records, GET
+/// /address-history the earlier services of addresses,
 /// POST /record announces a record and returns a later one that is in use
 /// instead.
 class PeerServer {
@@ -21,6 +22,8 @@
   /// The functions are called on the server's thread.
   struct Handlers {
     std::function<PeerSnapshot()> snapshot;
+    /// Returns the JSON of `EncodeAddressHistory`.
+    std::function<std::string()> address_history;
     /// Returns false and sets `failure` when the record cannot be read. Sets
     /// `later_record` when it is of an earlier start than the record in use.
     std::function<bool(const std::string& record, std::string* later_record,
--- a/packages/process/src/peer_client.cc
+++ b/packages/process/src/peer_client.cc
@@ -2,9 +2,11 @@
 
 #include <httplib.h>
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
+#include "kumquatvalve/process/address_history_codec.h"
 #include "kumquatvalve/process/http_client.h"
 
 namespace kumquatvalve::process {
@@ -65,6 +67,31 @@
   return snapshot;
 }
 
+std::optional<connection::AddressHistoryReport> PeerClient::FetchAddressHistory(
+    std::chrono::milliseconds span, request::Failure* failure) const {
+  std::optional<connection::AddressHistoryReport> merged;
+  for (const request::Endpoint& peer : peers_) {
+    httplib::Client client = Connect(peer);
+    const httplib::Result result = client.Get("/address-history");
+    if (!result || result->status != kOk) {
+      *failure = RequestFailure(peer, result);
+      continue;
+    }
+    const auto report = DecodeAddressHistory(result->body, failure);
+    if (!report) {
+      continue;
+    }
+    merged = merged.value_or(connection::AddressHistoryReport());
+    merged->span = std::max(merged->span, report->span);
+    merged->uses.insert(merged->uses.end(), report->uses.begin(),
+                        report->uses.end());
+    if (merged->span >= span) {
+      break;
+    }
+  }
+  return merged;
+}
+
 size_t PeerClient::SendRecord(const std::string& record,
                               std::vector<std::string>* later_records,
                               request::Failure* failure) const {
--- a/packages/process/src/peer_server.cc
+++ b/packages/process/src/peer_server.cc
@@ -39,6 +39,12 @@
       response.status = kOk;
       response.set_content(text, "application/json");
     });
+    listener_.http().Get(
+        "/address-history",
+        [this](const httplib::Request&, httplib::Response& response) {
+          response.status = kOk;
+          response.set_content(handlers_.address_history(), "application/json");
+        });
     listener_.http().Post("/record", [this](const httplib::Request& request,
                                             httplib::Response& response) {
       request::Failure failure;
--- a/packages/process/test/peer_client_test.cc
+++ b/packages/process/test/peer_client_test.cc
@@ -28,8 +28,9 @@
   PeerSnapshot snapshot;
   std::vector<std::string> records;
   std::string later_record;
+  std::string address_history = "{}";
   PeerServer server{
-      {[this] { return snapshot; },
+      {[this] { return snapshot; }, [this] { return address_history; },
        [this](const std::string& record, std::string* later, Failure* failure) {
          *failure = {ResultCode::kWrongType, "scripted"};
          records.push_back(record);
@@ -96,6 +97,31 @@
   CHECK(later == std::vector<std::string>{other.later_record});
 }
 
+// A peer that itself has just started may know less than another one.
+TEST_CASE("peer_client: peers are asked until one has the whole history") {
+  const std::string use =
+      R"({"address":"198.18.0.1:443","service":"patio","age_ms":1})";
+  Fixture young;
+  Fixture old;
+  Fixture last;
+  young.address_history = R"({"span_ms":5,"uses":[]})";
+  old.address_history = R"({"span_ms":70000,"uses":[)" + use + "]}";
+  last.address_history = R"({"span_ms":1,"uses":[)" + use + "]}";
+  Failure failure;
+  const std::chrono::milliseconds span(60000);
+  const PeerClient client({Loopback(1), Loopback(young.server.port()),
+                           Loopback(old.server.port()),
+                           Loopback(last.server.port())});
+  const auto report = client.FetchAddressHistory(span, &failure);
+  REQUIRE(report);
+  CHECK(report->span.count() == 70000);
+  CHECK(report->uses.size() == 1);
+  CHECK(failure.code == ResultCode::kBadAnswer);
+  young.address_history = "{}";
+  CHECK_FALSE(PeerClient({Loopback(young.server.port())})
+                  .FetchAddressHistory(span, &failure));
+}
+
 TEST_CASE("peer_snapshot: text that is not a snapshot is an error") {
   for (const char* text :
        {"", "[]", "{}", R"({"records":7})", R"({"records":[{"path":"p"})"}) {
