Fleet: let a process that started with an earlier time join again

A process of the fleet's own control path whose clock was stepped back between two starts would be ignored by its peers for good: no lease, no table, listed as dead.

Cause: the incarnation of a process is its start time, and EnvelopeFilter, Membership, SidecarRouter and MakeTarget take the larger one for the later start.

Change: a process answers a stale heartbeat with the incarnation that it knows (StaleStart). The sender raises its own above that with the same function as upstreams (request::OrderAfter), once a second at most, and announces itself again. The comparisons stay, and are of orders now.

Messages are added for stale heartbeats only.

--- a/apps/kumquatvalved/fleet.cc
+++ b/apps/kumquatvalved/fleet.cc
@@ -209,6 +209,13 @@
     tables_or_peers_changed_ = true;
   }
 
+  void OnOwnIncarnation(request::Incarnation incarnation) override {
+    incarnation_ = incarnation;
+    if (sidecar_ != nullptr) {
+      sidecar_->SetIncarnation(incarnation);
+    }
+  }
+
   void OnPeerMessage(request::InstanceId from,
                      const connection::PeerMessage& message) override {
     if (sidecar_ != nullptr) {
--- a/bench/control_fleet.h
+++ b/bench/control_fleet.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "event_queue.h"
+#include "kumquatvalve/process/control_channel.h"
 #include "kumquatvalve/process/control_node.h"
 #include "kumquatvalve/process/peer_codec.h"
 #include "kumquatvalve/process/table_codec.h"
@@ -44,6 +45,8 @@
   struct Process {
     std::string name;
     std::unique_ptr<process::ControlNode> node;
+    process::ControlNodeSettings settings;
+    process::EnvelopeFilter filter;
     /// False for a killed process.
     bool running = true;
     bool paused = false;
@@ -92,10 +95,8 @@
     }
     auto process = std::make_unique<Process>();
     process->name = self.instance();
-    process->node = std::make_unique<process::ControlNode>(
-        self,
-        std::vector<request::Endpoint>{ControlEndpoint(0), ControlEndpoint(1)},
-        settings, random_());
+    process->settings = settings;
+    StartNode(*process, self);
     processes_.push_back(std::move(process));
     processes_by_endpoint_[control] = index;
     ScheduleTick(index);
@@ -153,6 +154,22 @@
   /// after its first timer, as in a real process that is resumed.
   void Resume(Process& process) { process.paused = false; }
 
+  /// Ends a process without a message.
+  void Kill(Process& process) { process.running = false; }
+  /// Starts a killed process again, with nothing that it knew before.
+  void Restart(Process& process, request::Incarnation incarnation) {
+    control::Member self = process.node->membership().self();
+    self.set_incarnation(incarnation.value);
+    StartNode(process, self);
+    process.filter = {};
+    process.running = true;
+    process.watching = false;
+    process.applied_table_versions.clear();
+    process.member_states.clear();
+    ScheduleTick(
+        processes_by_endpoint_.at(*process::ReadEndpoint(self.control())));
+  }
+
   /// Transitions of a member to the state dead, over all processes.
   uint64_t evictions() const { return evictions_; }
   /// Tables that were applied after the same or a newer version of the same
@@ -167,6 +184,13 @@
     return {request::MapIpv4(bytes), 7000};
   }
 
+  void StartNode(Process& process, const control::Member& self) {
+    process.node = std::make_unique<process::ControlNode>(
+        self,
+        std::vector<request::Endpoint>{ControlEndpoint(0), ControlEndpoint(1)},
+        process.settings, random_());
+  }
+
   // Runs a call and adds its processor time to the process.
   template <typename F>
   void MeasureCpu(Process& process, F&& call) {
@@ -256,7 +280,13 @@
       process.bytes += size;
       process::NodeActions actions;
       MeasureCpu(process, [&] {
-        process.node->OnEnvelope(std::move(*shared), queue_.now(), &actions);
+        if (process.filter.IsFromNewest(*shared)) {
+          process.node->OnEnvelope(std::move(*shared), queue_.now(), &actions);
+        } else {
+          const uint64_t newest =
+              process.filter.NewestIncarnation(shared->sender());
+          process.node->OnStaleEnvelope({*shared, newest}, &actions);
+        }
       });
       PerformActions(to, std::move(actions));
     });
--- a/fuzz/envelope_fuzz.cc
+++ b/fuzz/envelope_fuzz.cc
@@ -1,5 +1,6 @@
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 #include "kumquatvalve/process/control_channel.h"
@@ -11,7 +12,8 @@
   const std::string_view bytes(reinterpret_cast<const char*>(data), size);
   kumquatvalve::request::Failure failure;
   process::EnvelopeFilter filter;
-  if (const auto envelope = filter.Read(bytes, &failure)) {
+  std::optional<process::StaleEnvelope> stale;
+  if (const auto envelope = filter.Read(bytes, &stale, &failure)) {
     process::ReadPeerMessage(*envelope, &failure);
   }
   process::ReadTable(bytes, {1}, &failure);
--- a/packages/connection/include/kumquatvalve/connection/sidecar_router.h
+++ b/packages/connection/include/kumquatvalve/connection/sidecar_router.h
@@ -220,6 +220,12 @@
     RegisterFlowsOfMovedRows();
   }
 
+  /// Replaces the incarnation of this sidecar, which forwarded packets have to
+  /// name.
+  void SetIncarnation(request::Incarnation incarnation) {
+    config_.incarnation = incarnation;
+  }
+
   /// Applies the state of the membership lease: without a valid lease no new
   /// flow is admitted.
   void OnLeaseState(bool valid, TimePoint now) {
--- a/packages/process/include/kumquatvalve/process/control_agent.h
+++ b/packages/process/include/kumquatvalve/process/control_agent.h
@@ -57,6 +57,10 @@
   /// A member's incarnation, state or endpoint changed.
   virtual void OnPeer(request::InstanceId instance, const PeerInfo& peer) = 0;
 
+  /// The own incarnation was raised above that of an earlier start, whose start
+  /// time was later. Peers expect the new one in packets.
+  virtual void OnOwnIncarnation(request::Incarnation incarnation) = 0;
+
   /// A message from another sidecar; its sender's incarnation was checked.
   virtual void OnPeerMessage(request::InstanceId from,
                              const connection::PeerMessage& message) = 0;
@@ -95,7 +99,8 @@
 class ControlAgent {
  public:
   /// Opens the control socket.
-  /// @param incarnation start time of the process.
+  /// @param incarnation start time of the process; raised when peers know a
+  ///   larger one, see `ControlListener::OnOwnIncarnation`.
   /// @param listener and `logger` must outlive the agent.
   /// @return null and `kSocketError` when the control endpoint cannot be
   ///   opened.
--- a/packages/process/include/kumquatvalve/process/control_channel.h
+++ b/packages/process/include/kumquatvalve/process/control_channel.h
@@ -30,15 +30,29 @@
   std::map<request::ResultCode, uint64_t> dropped;
 };
 
+/// A message from an earlier start of its sender than the newest known one.
+struct StaleEnvelope {
+  control::Envelope envelope;
+  uint64_t newest_incarnation = 0;
+};
+
 /// Decodes and checks messages of the control channel. Stores the newest
 /// incarnation of each sender.
 class EnvelopeFilter {
  public:
+  /// @param stale set together with `kStaleIncarnation`.
   /// @return nothing and `kBadMessage` for bytes that are not an envelope, or
   ///   `kStaleIncarnation` for a message from an earlier start of its sender.
   std::optional<control::Envelope> Read(std::string_view bytes,
+                                        std::optional<StaleEnvelope>* stale,
                                         request::Failure* failure);
 
+  /// Notes the incarnation of a message's sender.
+  /// @return whether no later start of the sender is known.
+  bool IsFromNewest(const control::Envelope& envelope);
+  /// The newest known incarnation of a sender; 0 for an unknown one.
+  uint64_t NewestIncarnation(const std::string& sender) const;
+
  private:
   std::map<std::string, uint64_t, std::less<>> newest_incarnations_;
 };
@@ -54,6 +68,7 @@
 class ControlChannel {
  public:
   using Handler = std::function<void(control::Envelope&&)>;
+  using StaleHandler = std::function<void(const StaleEnvelope&)>;
 
   /// @return null and `kSocketError` when the endpoint cannot be bound.
   static std::unique_ptr<ControlChannel> Open(const request::Endpoint& bind,
@@ -67,9 +82,11 @@
   /// Sends a message, or queues it until the connection is set up.
   void Send(const request::Endpoint& to, const control::Envelope& envelope);
 
-  /// Passes received messages to `handler`; waits at most `timeout` for the
-  /// first one.
-  void Receive(std::chrono::milliseconds timeout, const Handler& handler);
+  /// Passes received messages to `handler`, and those of earlier starts of
+  /// their senders to `stale_handler`, which may be empty; waits at most
+  /// `timeout` for the first one.
+  void Receive(std::chrono::milliseconds timeout, const Handler& handler,
+               const StaleHandler& stale_handler = {});
 
   /// Makes a waiting `Receive` return. Callable from any thread.
   void Wake();
--- a/packages/process/include/kumquatvalve/process/control_node.h
+++ b/packages/process/include/kumquatvalve/process/control_node.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "kumquatvalve/process/control.pb.h"
+#include "kumquatvalve/process/control_channel.h"
 #include "kumquatvalve/process/member_lease.h"
 #include "kumquatvalve/process/membership.h"
 #include "kumquatvalve/process/relay_session.h"
@@ -42,6 +43,8 @@
   /// Groups in which eviction was suspended now, with the number of suspected
   /// members.
   std::vector<std::pair<std::string, size_t>> newly_suspended_groups;
+  /// The process's own incarnation, when it changed.
+  std::optional<request::Incarnation> own_incarnation;
 };
 
 /// All decisions of the control plane of one process, without I/O: messages,
@@ -57,6 +60,10 @@
   /// Handles a message from another process.
   void OnEnvelope(control::Envelope&& envelope, TimePoint now,
                   NodeActions* actions);
+  /// Handles a message of an earlier start of its sender than the newest known
+  /// one. When the sender's clock was stepped back, it is the newest one all
+  /// the same: it is sent the incarnation that it has to exceed.
+  void OnStaleEnvelope(const StaleEnvelope& stale, NodeActions* actions);
   /// Runs due timers: pings, heartbeats, watcher selection and store writes.
   void Tick(TimePoint now, NodeActions* actions);
 
@@ -105,6 +112,10 @@
   void MergeActions(RelayActions&& relay, NodeActions* actions);
   void MergeActions(Membership::Actions&& found, TimePoint now,
                     NodeActions* actions);
+  // A peer knows a start of this process at a larger incarnation, which must be
+  // an earlier one: raises the own incarnation above it.
+  void OnStaleStart(const control::StaleStart& stale, TimePoint now,
+                    NodeActions* actions);
   void SendTo(const std::string& instance, control::Envelope&& envelope,
               NodeActions* actions);
 
@@ -117,6 +128,7 @@
   bool first_watcher_ = false;
   std::optional<TimePoint> started_at_;
   TimePoint next_role_check_at_{};
+  TimePoint next_incarnation_change_at_{};
 };
 
 }  // namespace kumquatvalve::process
--- a/packages/process/include/kumquatvalve/process/sidecar_process.h
+++ b/packages/process/include/kumquatvalve/process/sidecar_process.h
@@ -59,6 +59,9 @@
   /// first call. Without a valid lease no new flow is taken.
   void SetLease(bool valid);
 
+  /// Replaces the incarnation that forwarded packets have to name.
+  void SetIncarnation(request::Incarnation incarnation);
+
   /// Starts draining: no new flow is taken, open flows continue.
   void StartDrain();
   bool draining() const;
--- a/packages/process/src/control_agent.cc
+++ b/packages/process/src/control_agent.cc
@@ -315,8 +315,12 @@
         std::max(std::chrono::duration_cast<milliseconds>(next_tick_ - start),
                  milliseconds(0));
     channel_->Receive(
-        std::min(timeout, until_tick), [&](control::Envelope&& envelope) {
+        std::min(timeout, until_tick),
+        [&](control::Envelope&& envelope) {
           node_.OnEnvelope(std::move(envelope), steady_clock::now(), &actions);
+        },
+        [&](const StaleEnvelope& stale) {
+          node_.OnStaleEnvelope(stale, &actions);
         });
     HandleStoreEvents(&actions);
     const TimePoint now = steady_clock::now();
@@ -516,6 +520,15 @@
   }
 
   void PerformActions(NodeActions&& actions) {
+    if (actions.own_incarnation) {
+      self_.set_incarnation(actions.own_incarnation->value);
+      logger_.Log(
+          LogLevel::kWarning, LogEvent::kMemberStateChanged,
+          "peers know a later start of this process; its incarnation "
+          "is raised",
+          {{"incarnation", std::to_string(actions.own_incarnation->value)}});
+      listener_.OnOwnIncarnation(*actions.own_incarnation);
+    }
     for (const OutgoingMessage& it : actions.messages) {
       channel_->Send(it.to, it.envelope);
     }
--- a/packages/process/src/control_channel.cc
+++ b/packages/process/src/control_channel.cc
@@ -48,8 +48,9 @@
 
 }  // namespace
 
-std::optional<control::Envelope> EnvelopeFilter::Read(std::string_view bytes,
-                                                      Failure* failure) {
+std::optional<control::Envelope> EnvelopeFilter::Read(
+    std::string_view bytes, std::optional<StaleEnvelope>* stale,
+    Failure* failure) {
   control::Envelope envelope;
   if (bytes.size() > kMaxControlMessageBytes ||
       !envelope.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) ||
@@ -58,15 +59,26 @@
     *failure = {ResultCode::kBadMessage, "the message is not a valid envelope"};
     return std::nullopt;
   }
-  uint64_t& newest = newest_incarnations_[envelope.sender()];
-  if (envelope.sender_incarnation() < newest) {
+  if (!IsFromNewest(envelope)) {
     *failure = {ResultCode::kStaleIncarnation, envelope.sender()};
+    const uint64_t newest = NewestIncarnation(envelope.sender());
+    *stale = StaleEnvelope{std::move(envelope), newest};
     return std::nullopt;
   }
-  newest = envelope.sender_incarnation();
   return envelope;
 }
 
+bool EnvelopeFilter::IsFromNewest(const control::Envelope& envelope) {
+  uint64_t& newest = newest_incarnations_[envelope.sender()];
+  newest = std::max(newest, envelope.sender_incarnation());
+  return envelope.sender_incarnation() == newest;
+}
+
+uint64_t EnvelopeFilter::NewestIncarnation(const std::string& sender) const {
+  const auto it = newest_incarnations_.find(sender);
+  return it == newest_incarnations_.end() ? 0 : it->second;
+}
+
 class ControlChannel::Impl {
  public:
   Impl(const Endpoint& bind, const version::KeySettings& keys)
@@ -110,7 +122,8 @@
     }
   }
 
-  void Receive(std::chrono::milliseconds timeout, const Handler& handler) {
+  void Receive(std::chrono::milliseconds timeout, const Handler& handler,
+               const StaleHandler& stale_handler) {
     SendPending();
     const steady_clock::time_point end = steady_clock::now() + timeout;
     int received = 0;
@@ -132,7 +145,7 @@
       if ((items[1].revents & ZMQ_POLLIN) != 0) {
         AnswerAuthentication();
       }
-      received += Deliver(handler);
+      received += Deliver(handler, stale_handler);
       if (waiting) {
         SendPending();
       }
@@ -216,7 +229,7 @@
     }
   }
 
-  int Deliver(const Handler& handler) {
+  int Deliver(const Handler& handler, const StaleHandler& stale_handler) {
     int received = 0;
     std::vector<zmq::message_t> parts;
     while (received < kMaxMessagesPerReceive) {
@@ -245,10 +258,14 @@
       ++counts_.messages_received;
       counts_.bytes_received += parts[1].size();
       Failure failure;
+      std::optional<StaleEnvelope> stale;
       std::optional<control::Envelope> envelope =
-          filter_.Read(parts[1].to_string_view(), &failure);
+          filter_.Read(parts[1].to_string_view(), &stale, &failure);
       if (!envelope) {
         ++counts_.dropped[failure.code];
+        if (stale && stale_handler) {
+          stale_handler(*stale);
+        }
         continue;
       }
       handler(std::move(*envelope));
@@ -333,8 +350,9 @@
 }
 
 void ControlChannel::Receive(std::chrono::milliseconds timeout,
-                             const Handler& handler) {
-  impl_->Receive(timeout, handler);
+                             const Handler& handler,
+                             const StaleHandler& stale_handler) {
+  impl_->Receive(timeout, handler, stale_handler);
 }
 
 void ControlChannel::Wake() { impl_->Wake(); }
--- a/packages/process/src/control_node.cc
+++ b/packages/process/src/control_node.cc
@@ -5,6 +5,7 @@
 
 #include "kumquatvalve/process/peer_codec.h"
 #include "kumquatvalve/process/relay_selection.h"
+#include "kumquatvalve/request/start_order.h"
 
 namespace kumquatvalve::process {
 namespace {
@@ -19,6 +20,10 @@
 // first one of its fleet.
 constexpr std::chrono::milliseconds kJoinTimeout{2000};
 
+// Limits the messages that two processes with the same instance name cause,
+// each of which takes the other one for its earlier start.
+constexpr std::chrono::milliseconds kMinIncarnationChangeInterval{1000};
+
 template <typename T>
 void Append(std::vector<T>&& from, std::vector<T>* to) {
   to->insert(to->end(), std::make_move_iterator(from.begin()),
@@ -104,6 +109,9 @@
       MergeActions(std::move(found), now, actions);
       break;
     }
+    case Envelope::kStaleStart:
+      OnStaleStart(envelope.stale_start(), now, actions);
+      break;
     case Envelope::kRowClaim:
     case Envelope::kRowHandover:
     case Envelope::kHolderRegister:
@@ -120,6 +128,42 @@
   }
 }
 
+void ControlNode::OnStaleEnvelope(const StaleEnvelope& stale,
+                                  NodeActions* actions) {
+  const Envelope& envelope = stale.envelope;
+  // Heartbeats are repeated, so one kind of message is enough.
+  if (envelope.body_case() != Envelope::kHeartbeat) {
+    return;
+  }
+  Envelope reply;
+  reply.mutable_stale_start()->set_known_incarnation(stale.newest_incarnation);
+  const control::Member& self = envelope.heartbeat().self();
+  const auto endpoint = self.instance() == envelope.sender()
+                            ? ReadEndpoint(self.control())
+                            : std::nullopt;
+  if (endpoint) {
+    SetSender(&reply);
+    actions->messages.push_back({*endpoint, std::move(reply)});
+  } else {
+    SendTo(envelope.sender(), std::move(reply), actions);
+  }
+}
+
+void ControlNode::OnStaleStart(const control::StaleStart& stale, TimePoint now,
+                               NodeActions* actions) {
+  control::Member self = membership_.self();
+  if (stale.known_incarnation() <= self.incarnation() ||
+      now < next_incarnation_change_at_) {
+    return;
+  }
+  next_incarnation_change_at_ = now + kMinIncarnationChangeInterval;
+  self.set_incarnation(
+      request::OrderAfter({stale.known_incarnation()}, self.incarnation())
+          .value);
+  actions->own_incarnation = {self.incarnation()};
+  SetSelf(std::move(self), now, actions);
+}
+
 void ControlNode::OnStoreObjects(
     const std::vector<control::ConfigObject>& objects, uint64_t revision,
     bool snapshot, TimePoint now, NodeActions* actions) {
--- a/packages/process/src/sidecar_process.cc
+++ b/packages/process/src/sidecar_process.cc
@@ -215,6 +215,12 @@
       router_->OnLeaseState(valid, now);
     }
   }
+  void SetIncarnation(request::Incarnation incarnation) {
+    incarnation_ = incarnation;
+    if (router_) {
+      router_->SetIncarnation(incarnation);
+    }
+  }
   void StartDrain(connection::TimePoint now) {
     draining_ = true;
     if (router_) {
@@ -411,6 +417,12 @@
       [valid](Traffic& traffic, auto now) { traffic.SetLease(valid, now); });
 }
 
+void SidecarProcess::SetIncarnation(request::Incarnation incarnation) {
+  traffic_->Post([incarnation](Traffic& traffic, auto /*now*/) {
+    traffic.SetIncarnation(incarnation);
+  });
+}
+
 void SidecarProcess::StartDrain() {
   draining_ = true;
   traffic_->Post([](Traffic& traffic, auto now) { traffic.StartDrain(now); });
--- a/packages/process/test/control_agent_test.cc
+++ b/packages/process/test/control_agent_test.cc
@@ -38,6 +38,10 @@
     const std::lock_guard lock(mutex_);
     peers_[instance] = peer;
   }
+  void OnOwnIncarnation(request::Incarnation incarnation) override {
+    const std::lock_guard lock(mutex_);
+    own_incarnation_ = incarnation;
+  }
   void OnPeerMessage(request::InstanceId from,
                      const connection::PeerMessage& message) override {
     const std::lock_guard lock(mutex_);
@@ -62,6 +66,10 @@
     const std::lock_guard lock(mutex_);
     return reverted_;
   }
+  request::Incarnation own_incarnation() {
+    const std::lock_guard lock(mutex_);
+    return own_incarnation_;
+  }
   size_t claimed_row_count(const std::string& from) {
     const std::lock_guard lock(mutex_);
     return claimed_rows_[request::InstanceIdOf(request::InstanceName(from))];
@@ -79,6 +87,7 @@
   std::vector<version::ServiceAddress> addresses_;
   PeerTable peers_;
   std::map<request::InstanceId, size_t> claimed_rows_;
+  request::Incarnation own_incarnation_;
   bool lease_ = false;
   bool reverted_ = false;
 };
@@ -241,6 +250,16 @@
   server.Control({{"down", false}});
   CHECK(Eventually(
       [&] { return has_upstreams(entry1, 1) && has_upstreams(sidecar1, 1); }));
+
+  // Its clock was stepped back before this start.
+  sidecar2 = std::make_unique<RunningAgent>(
+      MakeSettings(Role::kSidecar, "sidecar-2", "gye-norte", 4, port), 50,
+      Announce);
+  CHECK(Eventually([&] {
+    return has_upstreams(entry1, 2) && has_upstreams(*sidecar2, 2) &&
+           sidecar2->listener().lease() &&
+           sidecar2->listener().own_incarnation().value > 103;
+  }));
   CHECK_FALSE(entry1.listener().reverted());
   CHECK_FALSE(sidecar1.listener().reverted());
 }
--- a/packages/process/test/control_channel_test.cc
+++ b/packages/process/test/control_channel_test.cc
@@ -70,12 +70,20 @@
 TEST_CASE("control_channel: stale and undecodable messages are dropped") {
   EnvelopeFilter filter;
   Failure failure;
-  CHECK(filter.Read(MakePing("a", 5).SerializeAsString(), &failure));
-  CHECK_FALSE(filter.Read(MakePing("a", 4).SerializeAsString(), &failure));
+  std::optional<StaleEnvelope> stale;
+  const auto read = [&](const std::string& bytes) {
+    return filter.Read(bytes, &stale, &failure).has_value();
+  };
+  CHECK(read(MakePing("a", 5).SerializeAsString()));
+  CHECK_FALSE(stale);
+  CHECK_FALSE(read(MakePing("a", 4).SerializeAsString()));
   CHECK(failure.code == ResultCode::kStaleIncarnation);
-  CHECK_FALSE(filter.Read("\xff\xff", &failure));
+  REQUIRE(stale);
+  CHECK(stale->newest_incarnation == 5);
+  CHECK(stale->envelope.sender() == "a");
+  CHECK_FALSE(read("\xff\xff"));
   CHECK(failure.code == ResultCode::kBadMessage);
-  CHECK_FALSE(filter.Read("", &failure));
+  CHECK_FALSE(read(""));
 }
 
 // Guards against a split of the fleet while only half of its processes have the
--- a/packages/process/test/control_node_test.cc
+++ b/packages/process/test/control_node_test.cc
@@ -13,6 +13,7 @@
 using bench::ControlFleet;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using TimePoint = ControlNode::TimePoint;
 
 const std::string kZones[] = {"gye-norte", "gye-sur", "gye-duran"};
 
@@ -115,6 +116,65 @@
   }
 }
 
+// A process whose clock was stepped back between two starts was ignored by its
+// peers from then on: it got no lease and no table.
+TEST_CASE(
+    "control_node: a process that starts with an earlier time is a member "
+    "again") {
+  ControlFleet fleet(milliseconds(2), 7);
+  Populate(fleet);
+  fleet.Run(seconds(20));
+  // A seed, another entry instance and a sidecar.
+  for (const size_t i : {0, 4, 9}) {
+    auto& process = *fleet.processes()[i];
+    const request::Incarnation before{
+        process.node->membership().self().incarnation()};
+    fleet.Kill(process);
+    fleet.Run(seconds(3));
+    fleet.Restart(process, {before.value - 2400000});
+    fleet.Run(seconds(20));
+    CHECK(process.node->lease().Valid(fleet.now()));
+    const uint64_t incarnation =
+        process.node->membership().self().incarnation();
+    CHECK(incarnation > before.value);
+    for (const auto& it : fleet.processes()) {
+      const control::Member* member = it->node->membership().Find(process.name);
+      REQUIRE(member != nullptr);
+      CHECK(member->incarnation() == incarnation);
+      CHECK(member->state() == control::MEMBER_STATE_ALIVE);
+    }
+  }
+  const uint64_t version = fleet.StoreService("patio", 9);
+  fleet.Run(seconds(20));
+  CHECK(IsInForceEverywhere(fleet, version));
+}
+
+// Two processes with the same instance name each take the other one for their
+// earlier start.
+TEST_CASE("control_node: the own incarnation is raised once a second at most") {
+  ControlFleet fleet(milliseconds(2), 7);
+  Populate(fleet);
+  ControlNode& node = *fleet.processes()[0]->node;
+  const auto raise = [&](TimePoint now) {
+    control::Envelope envelope;
+    envelope.mutable_stale_start()->set_known_incarnation(
+        node.membership().self().incarnation() + 5);
+    NodeActions actions;
+    node.OnEnvelope(std::move(envelope), now, &actions);
+    return actions.own_incarnation.has_value();
+  };
+  const TimePoint now = fleet.now() + seconds(1);
+  CHECK(raise(now));
+  CHECK_FALSE(raise(now + milliseconds(999)));
+  CHECK(raise(now + milliseconds(1000)));
+  // A reply that was meant for an earlier start changes nothing.
+  control::Envelope late;
+  late.mutable_stale_start()->set_known_incarnation(1);
+  NodeActions actions;
+  node.OnEnvelope(std::move(late), now + seconds(5), &actions);
+  CHECK_FALSE(actions.own_incarnation);
+}
+
 // Guards against needless writes, each of which costs a store call and
 // bandwidth at every member.
 TEST_CASE("control_node: unchanged input causes no write") {
--- a/packages/request/include/kumquatvalve/request/ids.h
+++ b/packages/request/include/kumquatvalve/request/ids.h
@@ -50,8 +50,9 @@
 /// The 64-bit xxHash of an instance name; see `InstanceIdOf`.
 using InstanceId = NumberId<struct InstanceIdTag, uint64_t>;
 
-/// Start time of a process in microseconds since 1970. A later start of the
-/// same instance has a larger incarnation.
+/// Order of the start of a process among those of the same instance, see
+/// `StartOrder`: the start time in microseconds since 1970, unless an earlier
+/// start had a later time.
 using Incarnation = NumberId<struct IncarnationTag, uint64_t>;
 
 /// The store revision of a forwarding table or a settings object.
