Renew the watch of the upstream records when a service has no upstream

Cause, inferred from its logs: the call that waits for changes of the records got no response, since its connection had gone silent, and waits for 10 s.

Change: when a flow is refused because its service has no upstream, the entry instance makes a new call in place of the waiting one, every 2.5 s at most and only while the store is available.

The new unit tests use new functions and were not run on the code before.

--- a/packages/connection/include/kumquatvalve/connection/entry_decision.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_decision.h
@@ -90,6 +90,9 @@
   // Starts to read the upstream records from the store; the result arrives
   // through `OnUpstreamRecords`.
   sink.RefreshRecords();
+  // Makes a new call for changes of the upstream records in place of the one
+  // that waits at the store, whose connection may have gone silent.
+  sink.RenewRecordWatch();
   // Starts to read the routes from the store; the result arrives through
   // `OnRoutes`, if it is newer, and `OnRoutesComplete`.
   sink.RefreshRoutes();
--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -278,6 +278,9 @@
   // A caller retransmits its first packet for at most 1.4 s.
   static constexpr Milliseconds kOpeningFlowTtl{2000};
   static constexpr Milliseconds kSweepInterval{1000};
+  // Minimum time between two renewals of the watch of the upstream records. A
+  // store that is available answers within some tens of milliseconds.
+  static constexpr Milliseconds kWatchRenewalInterval{2500};
 
   // Cost of placing a flow in another availability zone, expressed as latency.
   // A short request carries about 3 kB between zones, a bulk transfer 40 kB.
@@ -492,12 +495,25 @@
     if (!placement.chosen) {
       if (!views.empty()) {
         decision->verdict = EntryVerdict::kOverloaded;
+      } else if (excluded.empty()) {
+        RenewRecordWatch(now);
       }
       return nullptr;
     }
     return views[*placement.chosen];
   }
 
+  // No upstream of a service takes flows. Load pattern: a call that waits for
+  // changes of the records gets no response, since its connection has gone
+  // silent, while all upstreams of a service are replaced. The call's own
+  // timeout would pass before their successors are known.
+  void RenewRecordWatch(TimePoint now) {
+    if (now >= next_watch_renewal_at_) {
+      next_watch_renewal_at_ = now + kWatchRenewalInterval;
+      sink_->RenewRecordWatch();
+    }
+  }
+
   // A retransmitted first packet: the caller got no response within 200 or 600
   // ms.
   void OnRetransmittedFirstPacket(Flow* flow,
@@ -674,6 +690,7 @@
   FlowLocator<LocatorAdapter> locator_{&host_};
   bool upstreams_received_ = false;
   TimePoint next_sweep_at_;
+  TimePoint next_watch_renewal_at_;
 };
 
 }  // namespace kumquatvalve::connection
--- a/packages/connection/test/entry_router_test.cc
+++ b/packages/connection/test/entry_router_test.cc
@@ -46,6 +46,7 @@
     return packets.at(static_cast<size_t>(packet.front()));
   }
   void RefreshRecords() { ++record_reads; }
+  void RenewRecordWatch() { ++watch_renewals; }
   void RefreshRoutes() { ++route_reads; }
   void AskPeers() { ++peer_queries; }
   void RemoveRecord(const version::UpstreamRecord& record) {
@@ -70,6 +71,7 @@
   EntryDecision last_decision;
   int record_reads = 0;
   int route_reads = 0;
+  int watch_renewals = 0;
   int peer_queries = 0;
   std::vector<request::Endpoint> removed;
 };
@@ -632,6 +634,37 @@
 
 // The last packets of an ended flow may arrive after its sidecar has removed
 // the flow.
+// All upstreams of a service had been replaced while the watch of their records
+// was left without a response: the instance refused the service's flows for as
+// long as the call waited.
+TEST_CASE(
+    "entry_router: the watch of the records is renewed when a service has no "
+    "upstream") {
+  Fixture f(Routes(1, "evidencia"), {Record(1, "a")});
+  for (uint16_t port = 1; port <= 100; ++port) {
+    f.ReceiveSyn(port);
+  }
+  CHECK(f.sink.resets.size() == 100);
+  CHECK(f.sink.watch_renewals == 1);
+  CHECK(f.sink.record_reads == 0);
+  f.now += milliseconds(2500);
+  f.ReceiveSyn(101);
+  CHECK(f.sink.watch_renewals == 2);
+  // Flows that a busy or draining upstream returned are no reason.
+  Fixture busy;
+  busy.ReceiveSyn(1);
+  for (int i = 0; i < 3; ++i) {
+    const Sent last = busy.LastPacket();
+    busy.router.OnHopMessage(last.to,
+                             {.kind = HopKind::kReturned,
+                              .service = request::ServiceTagOf("patio"),
+                              .reason = ReturnReason::kDraining},
+                             last.packet, busy.now);
+  }
+  CHECK(busy.sink.resets.size() == 1);
+  CHECK(busy.sink.watch_renewals == 0);
+}
+
 TEST_CASE("entry_router: a packet without payload resets nothing") {
   Fixture f;
   f.now += milliseconds(1);
--- a/packages/process/include/kumquatvalve/process/entry_node.h
+++ b/packages/process/include/kumquatvalve/process/entry_node.h
@@ -38,6 +38,9 @@
     std::function<void()> on_pause;
     /// Lists the upstream records in the store again at once.
     std::function<void()> refresh_records;
+    /// Makes a new call in place of the one that waits for changes of the
+    /// upstream records.
+    std::function<void()> renew_record_watch;
     /// Lists the routes in the store again at once.
     std::function<void()> refresh_routes;
     /// Asks the other entry instances for their records, once; the answer is
@@ -91,6 +94,7 @@
     return F::Parse(packet, &failure);
   }
   void RefreshRecords() { requests_.refresh_records(); }
+  void RenewRecordWatch() { requests_.renew_record_watch(); }
   void RefreshRoutes() { requests_.refresh_routes(); }
   void AskPeers() { requests_.ask_peers(); }
   void RemoveRecord(const version::UpstreamRecord& record) {
--- a/packages/process/include/kumquatvalve/process/store_watcher.h
+++ b/packages/process/include/kumquatvalve/process/store_watcher.h
@@ -99,14 +99,21 @@
     Wake();
   }
 
+  /// Makes a new call in place of a watch that waits at the store, whose
+  /// connection may have gone silent. Does nothing while the store is
+  /// unavailable, since calls are repeated then. Thread-safe.
+  void RenewWatch() {
+    if (watching_ && !unavailable_) {
+      Refresh();
+    }
+  }
+
   /// Lists the objects again at once, or with the next attempt while the store
   /// is unavailable, for a caller that needs a complete copy: a watch may miss
   /// changes after the store has dropped its history. Thread-safe.
   void Relist() {
     relist_ = true;
-    if (watching_ && !unavailable_) {
-      Refresh();
-    }
+    RenewWatch();
   }
 
  private:
--- a/packages/process/test/store_watcher_test.cc
+++ b/packages/process/test/store_watcher_test.cc
@@ -210,6 +210,33 @@
 
 // A flow may be declared lost only on a complete list of upstream records; a
 // watch may miss changes after the store has dropped its history.
+// A watch whose connection had gone silent delayed changes for as long as it
+// waited. Repeated renewals must not add calls while the store is unavailable.
+TEST_CASE("store_watcher: only a waiting watch is renewed") {
+  Fixture f;
+  f.store.lists.push_back(ObjectList{{Object("u/1", 3, "a")}, {7}});
+  f.store.watches = {std::nullopt, std::nullopt, WatchAnswer{{}, {8}, false}};
+  f.watcher.RenewWatch();
+  f.store.at_watch = [&f] {
+    const size_t n = f.store.calls.size();
+    if (n == 2) {
+      f.watcher.RenewWatch();
+    } else if (n == 3) {
+      CHECK(f.unavailable == 0);
+    } else if (n == 4) {
+      CHECK(f.unavailable == 1);
+      f.watcher.RenewWatch();
+      CHECK(f.available == 0);
+    } else {
+      CHECK(f.unavailable == 1);
+      CHECK(f.available == 1);
+    }
+  };
+  f.watcher.Run();
+  CHECK(f.store.calls == std::vector<std::string>{"list", "watch 7", "watch 7",
+                                                  "watch 7", "watch 8"});
+}
+
 TEST_CASE("store_watcher: Relist lists the objects again") {
   Fixture f;
   f.store.lists.push_back(ObjectList{{Object("u/1", 3, "a")}, {7}});
