Do not wait for a presumed dead sidecar of another service

A machine that is down keeps its record for a minute or more, so lost flows stayed without a reset at entry instances that had just started, for as long as their history of earlier services was incomplete.

Change: only a missing reply of a sidecar that is not presumed dead is uncertain. Searches allow probes again only after they were widened.

Measured: unit tests of connection (the new case of flow_search_test), and platform_restart, passed.

--- a/packages/connection/include/kumquatvalve/connection/flow_locator.h
+++ b/packages/connection/include/kumquatvalve/connection/flow_locator.h
@@ -258,6 +258,12 @@
                             : host_->SidecarsForAddress(address);
   }
 
+  FlowSearch::IsPresumedDead DeathCheck(TimePoint now) const {
+    return [this, now](const request::Endpoint& sidecar) {
+      return host_->IsPresumedDead(sidecar, now);
+    };
+  }
+
   static Probing ProbingOf(const request::Endpoint& sidecar,
                            const SidecarList& own) {
     return std::find(own.begin(), own.end(), sidecar) != own.end()
@@ -407,9 +413,7 @@
       ContinueWithoutRoute(it, now);
       return;
     }
-    const auto is_dead = [this, now](const request::Endpoint& sidecar) {
-      return host_->IsPresumedDead(sidecar, now);
-    };
+    const auto is_dead = DeathCheck(now);
     FlowSearch::Step step = search.NextStep(now, is_dead);
     const bool all_replied =
         step == FlowSearch::Step::kNotHeld || !search.HasQueries();
@@ -469,8 +473,10 @@
       return;
     }
     const SidecarList own = host_->SidecarsForAddress(packet->flow.service);
-    for (const request::Endpoint& it : own) {
-      search->AllowProbing(it);
+    if (search->widened()) {
+      for (const request::Endpoint& it : own) {
+        search->AllowProbing(it);
+      }
     }
     for (const request::Endpoint& it :
          SidecarsFor(*search, packet->flow.service)) {
@@ -519,7 +525,8 @@
       host_->AskPeers();
       return;
     }
-    if (it->second.HasUncertainReply() && !host_->KnowsEarlierServices(now)) {
+    if (!host_->KnowsEarlierServices(now) &&
+        it->second.HasUncertainReply(DeathCheck(now))) {
       // The search ends after `kSearchTimeout`; the caller's next packet starts
       // another one.
       return;
--- a/packages/connection/include/kumquatvalve/connection/flow_search.h
+++ b/packages/connection/include/kumquatvalve/connection/flow_search.h
@@ -81,8 +81,9 @@
   std::vector<request::Endpoint> TakeSidecarsToProbe();
 
   /// Whether a sidecar whose upstream must not be probed could not say that the
-  /// flow is not held there: its reply was inconclusive or is missing.
-  bool HasUncertainReply() const;
+  /// flow is not held there: its reply was inconclusive, or is missing although
+  /// it is not presumed dead.
+  bool HasUncertainReply(const IsPresumedDead& is_dead) const;
 
   bool HasQueries() const { return !queries_.empty(); }
   bool WasQueried(const request::Endpoint& sidecar) const {
--- a/packages/connection/include/kumquatvalve/connection/latest_start.h
+++ b/packages/connection/include/kumquatvalve/connection/latest_start.h
@@ -62,8 +62,6 @@
   /// The latest start has ended.
   void OnEnd() { ended_ = true; }
 
-  /// Whether the latest start has ended.
-  bool ended() const { return ended_; }
   /// The latest start; empty before the first one.
   const std::optional<StartId>& latest() const { return latest_; }
   request::StartOrder order() const { return order_; }
--- a/packages/connection/src/flow_search.cc
+++ b/packages/connection/src/flow_search.cc
@@ -45,11 +45,12 @@
   }
 }
 
-bool FlowSearch::HasUncertainReply() const {
-  return std::any_of(queries_.begin(), queries_.end(), [](const auto& it) {
-    const Query& query = it.second;
+bool FlowSearch::HasUncertainReply(const IsPresumedDead& is_dead) const {
+  return std::any_of(queries_.begin(), queries_.end(), [&](const auto& it) {
+    const auto& [sidecar, query] = it;
     return query.probing == Probing::kForbidden &&
-           (query.state == State::kUncertain || query.state == State::kQueried);
+           (query.state == State::kUncertain ||
+            (query.state == State::kQueried && !is_dead(sidecar)));
   });
 }
 
--- a/packages/connection/test/flow_search_test.cc
+++ b/packages/connection/test/flow_search_test.cc
@@ -29,6 +29,11 @@
         now, [this](const request::Endpoint& it) { return dead.contains(it); });
   }
 
+  bool HasUncertainReply() const {
+    return search.HasUncertainReply(
+        [this](const request::Endpoint& it) { return dead.contains(it); });
+  }
+
   TimePoint now{std::chrono::hours(1)};
   std::set<request::Endpoint> dead;
   FlowSearch search{now};
@@ -66,17 +71,17 @@
 TEST_CASE("flow_search: a sidecar of another service may not know the flow") {
   Fixture f(1);
   f.search.OnNotHeld(Sidecar(1));
-  CHECK_FALSE(f.search.HasUncertainReply());
+  CHECK_FALSE(f.HasUncertainReply());
   for (int i = 2; i <= 3; ++i) {
     f.search.MarkQueried(Sidecar(i), f.now, FlowSearch::Probing::kForbidden);
   }
   f.search.OnInconclusive(Sidecar(2));
   f.search.OnNotHeld(Sidecar(3));
   CHECK(f.NextStep() == Step::kNotHeld);
-  CHECK(f.search.HasUncertainReply());
+  CHECK(f.HasUncertainReply());
   // Its service turns out to be an earlier one of the address.
   f.search.AllowProbing(Sidecar(2));
-  CHECK_FALSE(f.search.HasUncertainReply());
+  CHECK_FALSE(f.HasUncertainReply());
   CHECK(f.NextStep() == Step::kProbe);
   CHECK(f.search.TakeSidecarsToProbe() == std::vector{Sidecar(2)});
 }
@@ -88,9 +93,13 @@
   f.search.MarkQueried(Sidecar(3), f.now, FlowSearch::Probing::kForbidden);
   f.now += milliseconds(1500);
   CHECK(f.NextStep() == Step::kNotHeld);
-  CHECK(f.search.HasUncertainReply());
+  CHECK(f.HasUncertainReply());
+  // A dead machine holds no flow.
+  f.dead = {Sidecar(3)};
+  CHECK_FALSE(f.HasUncertainReply());
+  f.dead.clear();
   f.search.OnNotHeld(Sidecar(3));
-  CHECK_FALSE(f.search.HasUncertainReply());
+  CHECK_FALSE(f.HasUncertainReply());
 }
 
 TEST_CASE("flow_search: a reply of a sidecar without a query is ignored") {
