Do not count the history of a peer with older routes as complete

An entry instance that starts while a route's service changes may list the new routes before its peer does. The peer's report then lacks the service that is replaced, which the new instance has never seen, and its span would count as complete: an idle flow of that service could be reset.

Change: a report names the revision of its routes, and its span counts only when that is not older than the first routes here.

Measured: address_history_test ("a report of older routes leaves a gap"), the unit tests of connection, and those of the codec and the client, passed.

--- a/packages/connection/include/kumquatvalve/connection/address_history.h
+++ b/packages/connection/include/kumquatvalve/connection/address_history.h
@@ -2,6 +2,7 @@
 #define KUMQUATVALVE_CONNECTION_ADDRESS_HISTORY_H_
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <utility>
@@ -24,8 +25,10 @@
     friend bool operator==(const Use&, const Use&) = default;
   };
 
-  /// The report has every service that an address was routed to within this
-  /// time.
+  /// Revision of the routes in force; 0 before the first ones.
+  uint64_t revision = 0;
+  /// The routes in force and `uses` have every service that an address was
+  /// routed to within this time.
   std::chrono::milliseconds span{0};
   std::vector<Use> uses;
 };
@@ -43,7 +46,9 @@
   void OnRoutes(const version::RouteMap* previous,
                 const version::RouteMap& current, TimePoint now);
 
-  /// Merges what another entry instance knows.
+  /// Merges what another entry instance knows. Its span counts unless its
+  /// routes were older than the first ones here: services that were replaced
+  /// between the two are missing from both.
   void OnReport(const AddressHistoryReport& report, TimePoint now);
 
   /// Services that the address was routed to before, perhaps also the current
@@ -73,13 +78,26 @@
   // Bounds the memory: an entry takes about 200 bytes.
   static constexpr size_t kMaxUses = 20000;
 
+  /// Since when another instance knew all services up to a version of the
+  /// routes.
+  struct Coverage {
+    uint64_t revision = 0;
+    TimePoint since;
+  };
+
   void Add(const Use& use, TimePoint used_at);
+  void Extend(const Coverage& coverage);
 
   /// When an address was last routed to a service.
   std::map<Use, TimePoint> uses_;
   /// Every service that an address was routed to since then is in `uses_` or
   /// in the routes; empty before the first routes.
   std::optional<TimePoint> known_since_;
+  /// Revisions of the first and the current routes.
+  uint64_t first_revision_ = 0;
+  uint64_t revision_ = 0;
+  /// From reports that arrived before the first routes.
+  std::vector<Coverage> early_coverage_;
 };
 
 }  // namespace kumquatvalve::connection
--- a/packages/connection/src/address_history.cc
+++ b/packages/connection/src/address_history.cc
@@ -18,8 +18,14 @@
 
 void AddressHistory::OnRoutes(const version::RouteMap* previous,
                               const version::RouteMap& current, TimePoint now) {
-  known_since_ = known_since_.value_or(now);
+  revision_ = current.revision;
   if (previous == nullptr) {
+    known_since_ = now;
+    first_revision_ = current.revision;
+    for (const Coverage& it : early_coverage_) {
+      Extend(it);
+    }
+    early_coverage_.clear();
     return;
   }
   for (const auto& [address, route] : previous->routes) {
@@ -36,7 +42,18 @@
   for (const AddressHistoryReport::Use& it : report.uses) {
     Add({it.address, it.service}, now - it.age);
   }
-  known_since_ = std::min(known_since_.value_or(now), now - report.span);
+  const Coverage coverage{report.revision, now - report.span};
+  if (known_since_) {
+    Extend(coverage);
+  } else {
+    early_coverage_.push_back(coverage);
+  }
+}
+
+void AddressHistory::Extend(const Coverage& coverage) {
+  if (coverage.revision >= first_revision_) {
+    known_since_ = std::min(*known_since_, coverage.since);
+  }
 }
 
 void AddressHistory::Add(const Use& use, TimePoint used_at) {
@@ -69,6 +86,7 @@
 
 AddressHistoryReport AddressHistory::Report(TimePoint now) const {
   AddressHistoryReport report;
+  report.revision = revision_;
   if (known_since_) {
     report.span = duration_cast<milliseconds>(now - *known_since_);
   }
--- a/packages/connection/test/address_history_test.cc
+++ b/packages/connection/test/address_history_test.cc
@@ -18,8 +18,10 @@
                                  &failure);
 }
 
-version::RouteMap Routes(const std::map<int, std::string>& services) {
+version::RouteMap Routes(const std::map<int, std::string>& services,
+                         uint64_t revision = 1) {
   version::RouteMap map;
+  map.revision = revision;
   for (const auto& [i, service] : services) {
     map.routes[Address(i)].shares = {
         {request::ServiceName(service), request::ServiceTagOf(service), 1}};
@@ -78,11 +80,39 @@
     CHECK(report.uses[0].age == now - (kNow + seconds(40)));
   }
   AddressHistory last;
+  last.OnRoutes(nullptr, second, now);
   last.OnReport(report, now);
   CHECK_FALSE(last.IsComplete(kNow + milliseconds(59999)));
   CHECK(last.IsComplete(kNow + seconds(60)));
 }
 
+// A peer that has not read the newest routes yet does not report the service
+// that they replace, which this process has never seen.
+TEST_CASE("address_history: a report of older routes leaves a gap") {
+  const auto first = Routes({{1, "patio"}}, 7);
+  const auto second = Routes({{1, "evidencia"}}, 9);
+  AddressHistory late;
+  late.OnRoutes(nullptr, first, kNow);
+  const TimePoint now = kNow + seconds(70);
+  const AddressHistoryReport old_report = late.Report(now);
+  late.OnRoutes(&first, second, now);
+  const AddressHistoryReport new_report = late.Report(now);
+  for (const bool routes_first : {true, false}) {
+    AddressHistory history;
+    if (routes_first) {
+      history.OnRoutes(nullptr, second, now);
+    }
+    history.OnReport(old_report, now);
+    if (!routes_first) {
+      history.OnRoutes(nullptr, second, now);
+    }
+    CHECK_FALSE(history.IsComplete(now));
+    history.OnReport(new_report, now);
+    CHECK(history.IsComplete(now));
+    CHECK(history.ServicesOf(Address(1)) == Tags("patio"));
+  }
+}
+
 TEST_CASE(
     "address_history: a process is certain after the retention of flows") {
   AddressHistory history;
--- a/packages/connection/test/entry_router_test.cc
+++ b/packages/connection/test/entry_router_test.cc
@@ -834,7 +834,7 @@
   CHECK(f.sink.SentOfKind(HopKind::kPacket).empty());
   CHECK(f.sink.resets.empty());
   // Another instance knows that the address had no other service.
-  f.router.OnAddressHistory({std::chrono::seconds(61), {}}, f.now);
+  f.router.OnAddressHistory({1, std::chrono::seconds(61), {}}, f.now);
   CHECK(f.sink.SentOfKind(HopKind::kPacket).empty());
   CHECK(f.sink.resets.size() == 1);
 }
@@ -856,7 +856,8 @@
   CHECK(f.sink.resets.empty());
   // Another instance knows the earlier service: its upstreams may be probed.
   f.router.OnAddressHistory(
-      {milliseconds(0),
+      {1,
+       milliseconds(0),
        {{kServiceAddress, request::ServiceName("patio"), milliseconds(3000)}}},
       f.now);
   CHECK(f.WasSent(HopKind::kPacket, 1));
@@ -876,7 +877,8 @@
     "another instance knows") {
   RestartedInstance f;
   f.router.OnAddressHistory(
-      {milliseconds(0),
+      {1,
+       milliseconds(0),
        {{kServiceAddress, request::ServiceName("patio"), milliseconds(3000)}}},
       f.now);
   f.ReceiveData(1);
--- a/packages/process/include/kumquatvalve/process/entry_node.h
+++ b/packages/process/include/kumquatvalve/process/entry_node.h
@@ -178,10 +178,11 @@
   /// sent were published.
   void PublishPeersAsked(bool asked) { peers_asked_ = asked; }
 
-  /// Hands over what another entry instance knows about earlier services of
+  /// Hands over what other entry instances know about earlier services of
   /// addresses.
-  void PublishAddressHistory(connection::AddressHistoryReport report) {
-    address_history_.Put(std::move(report));
+  void PublishAddressHistories(
+      std::vector<connection::AddressHistoryReport> reports) {
+    address_histories_.Put(std::move(reports));
   }
 
   /// The published routes include every version that the store had accepted by
@@ -332,8 +333,10 @@
     if (routes_complete_at) {
       router_.OnRoutesComplete(*routes_complete_at, now_);
     }
-    if (const auto it = address_history_.Take()) {
-      router_.OnAddressHistory(*it, now_);
+    if (const auto reports = address_histories_.Take()) {
+      for (const connection::AddressHistoryReport& it : *reports) {
+        router_.OnAddressHistory(it, now_);
+      }
     }
     if (const auto it = upstreams_.Take()) {
       router_.OnUpstreamRecords(it->records, it->complete_at, now_);
@@ -382,7 +385,7 @@
   PauseDetector pause_detector_;
   Mailbox<std::shared_ptr<const version::RouteMap>> routes_;
   Mailbox<Clock::time_point> routes_complete_at_;
-  Mailbox<connection::AddressHistoryReport> address_history_;
+  Mailbox<std::vector<connection::AddressHistoryReport>> address_histories_;
   Mailbox<Upstreams> upstreams_;
   std::atomic<bool> has_routes_{false};
   std::atomic<bool> has_upstreams_{false};
--- a/packages/process/include/kumquatvalve/process/peer_client.h
+++ b/packages/process/include/kumquatvalve/process/peer_client.h
@@ -1,7 +1,6 @@
 #ifndef KUMQUATVALVE_PROCESS_PEER_CLIENT_H_
 #define KUMQUATVALVE_PROCESS_PEER_CLIENT_H_
 
-#include <chrono>
 #include <cstddef>
 #include <map>
 #include <optional>
@@ -30,12 +29,11 @@
   ///   peers, the peer does not respond or its response cannot be read.
   std::optional<PeerSnapshot> FetchSnapshot(request::Failure* failure);
 
-  /// Asks each peer for the earlier services of addresses until their histories
-  /// go back for `span`.
-  /// @return what the peers know together; nothing when none could say, with
-  ///   the failure of the last one.
-  std::optional<connection::AddressHistoryReport> FetchAddressHistory(
-      std::chrono::milliseconds span, request::Failure* failure) const;
+  /// Asks all peers for the earlier services of addresses.
+  /// @return the reports of those that responded; `failure` is that of the last
+  ///   one that did not.
+  std::vector<connection::AddressHistoryReport> FetchAddressHistories(
+      request::Failure* failure) const;
 
   /// Sends a record to all peers, one after the other.
   /// @param later_records receives the records of later starts that peers use
--- a/packages/process/src/address_history_codec.cc
+++ b/packages/process/src/address_history_codec.cc
@@ -50,7 +50,8 @@
 }  // namespace
 
 std::string EncodeAddressHistory(const AddressHistoryReport& report) {
-  Json value = {{"span_ms", std::min(report.span, kMaxAge).count()},
+  Json value = {{"revision", report.revision},
+                {"span_ms", std::min(report.span, kMaxAge).count()},
                 {"uses", Json::array()}};
   for (const AddressHistoryReport::Use& it : report.uses) {
     value["uses"].push_back({{"address", request::ToString(it.address)},
@@ -70,11 +71,14 @@
                                       "not a whole address history"};
   const auto span =
       value->is_object() ? ReadAge(*value, "span_ms") : std::nullopt;
-  if (!span || !value->contains("uses") || !value->at("uses").is_array()) {
+  const auto revision =
+      span ? ReadUnsigned(*value, "revision", UINT64_MAX) : std::nullopt;
+  if (!revision || !value->contains("uses") || !value->at("uses").is_array()) {
     *failure = not_a_report;
     return std::nullopt;
   }
   AddressHistoryReport report;
+  report.revision = *revision;
   report.span = *span;
   for (const Json& it : value->at("uses")) {
     auto use = DecodeUse(it, failure);
--- a/packages/process/src/peer_client.cc
+++ b/packages/process/src/peer_client.cc
@@ -2,7 +2,6 @@
 
 #include <httplib.h>
 
-#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -67,29 +66,19 @@
   return snapshot;
 }
 
-std::optional<connection::AddressHistoryReport> PeerClient::FetchAddressHistory(
-    std::chrono::milliseconds span, request::Failure* failure) const {
-  std::optional<connection::AddressHistoryReport> merged;
+std::vector<connection::AddressHistoryReport> PeerClient::FetchAddressHistories(
+    request::Failure* failure) const {
+  std::vector<connection::AddressHistoryReport> reports;
   for (const request::Endpoint& peer : peers_) {
     httplib::Client client = Connect(peer);
     const httplib::Result result = client.Get("/address-history");
     if (!result || result->status != kOk) {
       *failure = RequestFailure(peer, result);
-      continue;
-    }
-    const auto report = DecodeAddressHistory(result->body, failure);
-    if (!report) {
-      continue;
-    }
-    merged = merged.value_or(connection::AddressHistoryReport());
-    merged->span = std::max(merged->span, report->span);
-    merged->uses.insert(merged->uses.end(), report->uses.begin(),
-                        report->uses.end());
-    if (merged->span >= span) {
-      break;
+    } else if (auto report = DecodeAddressHistory(result->body, failure)) {
+      reports.push_back(std::move(*report));
     }
   }
-  return merged;
+  return reports;
 }
 
 size_t PeerClient::SendRecord(const std::string& record,
--- a/packages/process/test/address_history_codec_test.cc
+++ b/packages/process/test/address_history_codec_test.cc
@@ -12,12 +12,14 @@
 TEST_CASE("address_history_codec: a report survives encoding and decoding") {
   request::Failure failure;
   AddressHistoryReport report;
+  report.revision = 12;
   report.span = milliseconds(61000);
   report.uses = {{*request::ParseEndpoint("198.18.0.1:443", &failure),
                   request::ServiceName("patio"), milliseconds(2500)}};
   const auto read =
       DecodeAddressHistory(EncodeAddressHistory(report), &failure);
   REQUIRE(read);
+  CHECK(read->revision == report.revision);
   CHECK(read->span == report.span);
   CHECK(read->uses == report.uses);
 }
@@ -27,14 +29,15 @@
 TEST_CASE("address_history_codec: a part of a report is not a report") {
   const std::string use =
       R"({"address":"198.18.0.1:443","service":"patio","age_ms":1})";
-  const std::string head = R"({"span_ms":5,"uses":[)";
+  const std::string head = R"({"revision":3,"span_ms":5,"uses":[)";
   request::Failure failure;
   CHECK(DecodeAddressHistory(head + use + "]}", &failure));
   for (const std::string& it :
        {std::string(), std::string("{}"), std::string("[]"),
-        std::string(R"({"span_ms":-1,"uses":[]})"),
-        std::string(R"({"span_ms":1e300,"uses":[]})"),
-        std::string(R"({"span_ms":5,"uses":7})"), head + "7]}",
+        std::string(R"({"span_ms":5,"uses":[]})"),
+        std::string(R"({"revision":3,"span_ms":-1,"uses":[]})"),
+        std::string(R"({"revision":3,"span_ms":1e300,"uses":[]})"),
+        std::string(R"({"revision":3,"span_ms":5,"uses":7})"), head + "7]}",
         head + use + ",{}]}",
         head + R"({"address":"host:1","service":"patio","age_ms":1}]})",
         head + R"({"address":"198.18.0.1:443","service":"","age_ms":1}]})",
--- a/packages/process/test/peer_client_test.cc
+++ b/packages/process/test/peer_client_test.cc
@@ -98,28 +98,24 @@
 }
 
 // A peer that itself has just started may know less than another one.
-TEST_CASE("peer_client: peers are asked until one has the whole history") {
-  const std::string use =
-      R"({"address":"198.18.0.1:443","service":"patio","age_ms":1})";
+TEST_CASE("peer_client: all peers are asked for the history") {
   Fixture young;
   Fixture old;
-  Fixture last;
-  young.address_history = R"({"span_ms":5,"uses":[]})";
-  old.address_history = R"({"span_ms":70000,"uses":[)" + use + "]}";
-  last.address_history = R"({"span_ms":1,"uses":[)" + use + "]}";
+  Fixture odd;
+  young.address_history = R"({"revision":4,"span_ms":5,"uses":[]})";
+  old.address_history =
+      R"({"revision":3,"span_ms":70000,"uses":[{"address":"198.18.0.1:443",)"
+      R"("service":"patio","age_ms":1}]})";
   Failure failure;
-  const std::chrono::milliseconds span(60000);
   const PeerClient client({Loopback(1), Loopback(young.server.port()),
-                           Loopback(old.server.port()),
-                           Loopback(last.server.port())});
-  const auto report = client.FetchAddressHistory(span, &failure);
-  REQUIRE(report);
-  CHECK(report->span.count() == 70000);
-  CHECK(report->uses.size() == 1);
+                           Loopback(odd.server.port()),
+                           Loopback(old.server.port())});
+  const auto reports = client.FetchAddressHistories(&failure);
+  REQUIRE(reports.size() == 2);
+  CHECK(reports[0].revision == 4);
+  CHECK(reports[1].span.count() == 70000);
+  CHECK(reports[1].uses.size() == 1);
   CHECK(failure.code == ResultCode::kBadAnswer);
-  young.address_history = "{}";
-  CHECK_FALSE(PeerClient({Loopback(young.server.port())})
-                  .FetchAddressHistory(span, &failure));
 }
 
 TEST_CASE("peer_snapshot: text that is not a snapshot is an error") {
