--- a/packages/connection/include/kumquatvalve/connection/entry_decision.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_decision.h
@@ -91,7 +91,7 @@
   // through `OnUpstreamRecords`.
   sink.RefreshRecords();
   // Makes a new call for changes of the upstream records in place of the one
-  // that waits at the store, whose connection may have gone silent.
+  // that waits at the store, whose connection may deliver nothing any more.
   sink.RenewRecordWatch();
   // Starts to read the routes from the store; the result arrives through
   // `OnRoutes`, if it is newer, and `OnRoutesComplete`.
--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -503,10 +503,10 @@
     return views[*placement.chosen];
   }
 
-  // No upstream of a service takes flows. Load pattern: a call that waits for
-  // changes of the records gets no response, since its connection has gone
-  // silent, while all upstreams of a service are replaced. The call's own
-  // timeout would pass before their successors are known.
+  // No upstream of a service takes flows. Load pattern: all upstreams of a
+  // service are replaced while the connection of the call that waits for
+  // changes of their records delivers nothing any more. The call's own timeout
+  // would pass before their successors are known.
   void RenewRecordWatch(TimePoint now) {
     if (now >= next_watch_renewal_at_) {
       next_watch_renewal_at_ = now + kWatchRenewalInterval;
--- a/packages/process/include/kumquatvalve/process/store_watcher.h
+++ b/packages/process/include/kumquatvalve/process/store_watcher.h
@@ -100,7 +100,7 @@
   }
 
   /// Makes a new call in place of a watch that waits at the store, whose
-  /// connection may have gone silent. Does nothing while the store is
+  /// connection may deliver nothing any more. Does nothing while the store is
   /// unavailable, since calls are repeated then. Thread-safe.
   void RenewWatch() {
     if (watching_ && !unavailable_) {
--- a/packages/process/test/store_watcher_test.cc
+++ b/packages/process/test/store_watcher_test.cc
@@ -210,8 +210,9 @@
 
 // A flow may be declared lost only on a complete list of upstream records; a
 // watch may miss changes after the store has dropped its history.
-// A watch whose connection had gone silent delayed changes for as long as it
-// waited. Repeated renewals must not add calls while the store is unavailable.
+// A watch whose connection delivered nothing any more delayed changes for as
+// long as it waited. Repeated renewals must not add calls while the store is
+// unavailable.
 TEST_CASE("store_watcher: only a waiting watch is renewed") {
   Fixture f;
   f.store.lists.push_back(ObjectList{{Object("u/1", 3, "a")}, {7}});
