--- a/packages/process/test/entry_knowledge_test.cc
+++ b/packages/process/test/entry_knowledge_test.cc
@@ -1,5 +1,6 @@
 #include "kumquatvalve/process/entry_knowledge.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
 #include <string>
@@ -13,12 +14,19 @@
 
 const EntryKnowledge::TimePoint kNow{std::chrono::hours(1)};
 
+constexpr uint64_t kIncarnationMs = 1000;
+
+// @param name the sidecar's address, followed by "#" and the incarnation if
+//   that is another one than `kIncarnationMs`.
 version::UpstreamRecord Record(const std::string& name) {
   version::UpstreamRecord record;
   Failure failure;
-  record.sidecar = *request::ParseEndpoint(name + ":8172", &failure);
+  const size_t mark = std::min(name.find('#'), name.size());
+  record.sidecar =
+      *request::ParseEndpoint(name.substr(0, mark) + ":8172", &failure);
   record.service = request::ServiceName("patio");
-  record.incarnation_ms = 1000;
+  record.incarnation_ms =
+      mark == name.size() ? kIncarnationMs : std::stoull(name.substr(mark + 1));
   return record;
 }
 
@@ -57,7 +65,11 @@
               [](const version::UpstreamRecord& record) {
                 const std::string name =
                     request::ToString(record.sidecar.address);
-                return RecordObject(name, 0);
+                StoredObject object = RecordObject(name, 0);
+                if (record.incarnation_ms != kIncarnationMs) {
+                  object.body += "#" + std::to_string(record.incarnation_ms);
+                }
+                return object;
               }};
 }
 
@@ -147,6 +159,26 @@
   CHECK(failure.code == request::ResultCode::kWrongType);
 }
 
+// During an outage of the store, a sidecar that had restarted kept announcing a
+// record that no entry instance used.
+TEST_CASE(
+    "entry_knowledge: the record in use is returned for one of an earlier "
+    "start") {
+  Fixture f;
+  Failure failure;
+  std::string later;
+  CHECK(
+      f.knowledge.OnAnnouncedRecord("10.0.0.2#5000", f.now, &later, &failure));
+  CHECK(later.empty());
+  CHECK(
+      f.knowledge.OnAnnouncedRecord("10.0.0.2#2600", f.now, &later, &failure));
+  CHECK(later == "10.0.0.2#5000");
+  later.clear();
+  CHECK(
+      f.knowledge.OnAnnouncedRecord("10.0.0.2#7000", f.now, &later, &failure));
+  CHECK(later.empty());
+}
+
 // A single announced record is not a list of all upstreams: publishing it alone
 // would refuse the callers of all others.
 TEST_CASE(
