Sidecar: take only a proven upstream as evidence that the next one began later

The first message of any start, also a late one or one of another writer, counted as evidence that the next upstream began while the sidecar ran. The sidecar would then deny flows that its predecessor had admitted.

Conclusion: kept, since it only makes sidecars more cautious.

--- a/packages/connection/include/kumquatvalve/connection/latest_start.h
+++ b/packages/connection/include/kumquatvalve/connection/latest_start.h
@@ -67,7 +67,9 @@
   request::StartOrder order() const { return order_; }
 
   /// Whether the latest start is known to have begun after this object was
-  /// created: another one sent a message before it.
+  /// created: another one was the latest before it and sent
+  /// `kMessagesToReplace` messages here. A single message proves nothing, since
+  /// it may be a late one or of another writer.
   bool began_after_creation() const {
     return first_ && latest_ && *first_ != *latest_;
   }
@@ -96,6 +98,9 @@
     bool Add(uint64_t sequence, TimePoint now);
   };
 
+  // Notes the first start that has sent enough messages.
+  void NoteFirst();
+
   // Counts a message of a start that counts as an earlier one.
   // @return whether that start is the latest one after all.
   bool IsReplacement(const StartId& start, uint64_t sequence, TimePoint now);
@@ -107,7 +112,7 @@
   std::optional<MessageCount> received_;
   /// Messages of the last start that counted as an earlier one.
   std::optional<MessageCount> candidate_;
-  /// The start whose message arrived first.
+  /// The first start that sent `kMessagesToReplace` messages as the latest one.
   std::optional<StartId> first_;
 };
 
--- a/packages/connection/src/latest_start.cc
+++ b/packages/connection/src/latest_start.cc
@@ -31,9 +31,6 @@
 
 StartVerdict LatestStart::OnMessage(const StartId& start, uint64_t sequence,
                                     TimePoint now) {
-  if (!first_) {
-    first_ = start;
-  }
   const bool is_latest = latest_ == start;
   if (is_latest && received_ && sequence > received_->sequence) {
     if (ended_) {
@@ -41,6 +38,7 @@
     }
     received_->Add(sequence, now);
     candidate_.reset();
+    NoteFirst();
     return StartVerdict::kLatest;
   }
   const MessageCount first_message{start, sequence, sequence, 1, now};
@@ -62,9 +60,16 @@
     received_ = candidate_;
   }
   candidate_.reset();
+  NoteFirst();
   return StartVerdict::kReplaced;
 }
 
+void LatestStart::NoteFirst() {
+  if (!first_ && received_->messages >= kMessagesToReplace) {
+    first_ = received_->start;
+  }
+}
+
 bool LatestStart::IsReplacement(const StartId& start, uint64_t sequence,
                                 TimePoint now) {
   const bool continues = candidate_ && candidate_->start == start &&
