Sidecar: log the age of the upstream's last heartbeat and pauses

Requests were run by upstreams of another service and the logs could not distinguish why: a sidecar logged rejected heartbeats, but neither when the last one of its own upstream was accepted nor that the process was paused.

Each decision of a sidecar now has heartbeat_age_ms and other_service_age_ms, and a pause of a sidecar is logged as for entry instances (event 1007).

No decision changes.

--- a/packages/connection/include/kumquatvalve/connection/gate_decision.h
+++ b/packages/connection/include/kumquatvalve/connection/gate_decision.h
@@ -5,9 +5,11 @@
 #include <concepts>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string_view>
 
+#include "kumquatvalve/connection/admission_policy.h"
 #include "kumquatvalve/request/flow_key.h"
 #include "kumquatvalve/request/hop_message.h"
 #include "kumquatvalve/request/packet.h"
@@ -66,6 +68,11 @@
   uint16_t opening = 0;
   /// First packets that wait at the sidecar.
   size_t waiting = 0;
+  /// When the upstream's last heartbeat was accepted; empty before the first.
+  std::optional<TimePoint> heartbeat_at;
+  /// When the last heartbeat of another service arrived; empty before the
+  /// first.
+  std::optional<TimePoint> other_service_at;
 };
 
 /// The effects of a sidecar's gate, implemented by the process around it.
--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -76,14 +76,19 @@
     stored_incarnation_ms_ = incarnation_ms;
   }
 
-  /// The upstream announced the same identity again.
+  /// A heartbeat of the upstream was accepted; `OnIdentity` is called before
+  /// when it changed the identity.
   void OnHeartbeat(TimePoint now) {
+    heartbeat_at_ = now;
     responsiveness_.OnHeartbeat();
     if (UpdateReportedResponsiveness(now)) {
       SendReports(now);
     }
   }
 
+  /// A heartbeat arrived that names another service.
+  void OnOtherServiceHeartbeat(TimePoint now) { other_service_at_ = now; }
+
   /// The upstream has left or this process is about to stop: returns waiting
   /// first packets and all later ones.
   void StartDrain(TimePoint now) {
@@ -357,7 +362,8 @@
       GateVerdict verdict, const request::FlowKey& flow,
       request::ReturnReason reason = request::ReturnReason::kNone) {
     sink_->RecordDecision({verdict, flow, reason, load_.in_progress,
-                           load_.opening, waiting_.size()});
+                           load_.opening, waiting_.size(), heartbeat_at_,
+                           other_service_at_});
   }
 
   // Expected requests of the opening flows. Not every opening flow sends a
@@ -824,6 +830,8 @@
   S* sink_;
   request::UpstreamLoad load_;
   ServiceTimeEstimate service_time_;
+  std::optional<TimePoint> heartbeat_at_;
+  std::optional<TimePoint> other_service_at_;
   std::optional<TimePoint> first_tick_at_;
   /// Flows that were opened before this process started have been idle for
   /// `kIdleFlowTtl`, or one of their packets has added them to `flows_`.
--- a/packages/process/include/kumquatvalve/process/sidecar_node.h
+++ b/packages/process/include/kumquatvalve/process/sidecar_node.h
@@ -13,6 +13,8 @@
 #include "kumquatvalve/connection/upstream_gate.h"
 #include "kumquatvalve/process/decision_log.h"
 #include "kumquatvalve/process/exception_guard.h"
+#include "kumquatvalve/process/log_event.h"
+#include "kumquatvalve/process/logging.h"
 #include "kumquatvalve/process/node_metrics.h"
 #include "kumquatvalve/process/packet_format.h"
 #include "kumquatvalve/process/traffic_loop.h"
@@ -120,6 +122,7 @@
   SidecarNode(const version::NodeSettings& settings, const Logger* logger,
               std::function<void()> on_record_missing)
       : settings_(settings),
+        logger_(logger),
         on_record_missing_(std::move(on_record_missing)),
         output_(settings, logger),
         guard_("traffic", logger,
@@ -144,9 +147,12 @@
     stored_incarnation_ms_.Put(incarnation_ms);
   }
 
-  /// Notes that the upstream announced itself with an unchanged identity.
+  /// Notes that a heartbeat of the upstream was accepted.
   void PublishHeartbeat() { heartbeat_received_ = true; }
 
+  /// Notes that a heartbeat named another service.
+  void PublishOtherServiceHeartbeat() { other_service_received_ = true; }
+
   /// True until `Stop` is called.
   bool Ready() const { return !stopping_; }
 
@@ -197,6 +203,10 @@
       stop_at_ = now_ + settings_.stop_timeout - kExitMargin;
     }
     stopped_ = stop_at_ && now_ >= *stop_at_;
+    if (pause_detector_.CheckForPause(now_, std::chrono::system_clock::now())) {
+      logger_->Log(LogLevel::kWarning, LogEvent::kProcessPaused,
+                   "the process was paused", {});
+    }
     ApplyPublishedUpdates();
     if ((readable & kHopsReadable) != 0) {
       ReceiveHopMessages();
@@ -260,6 +270,9 @@
     if (heartbeat_received_.exchange(false)) {
       gate_.OnHeartbeat(now_);
     }
+    if (other_service_received_.exchange(false)) {
+      gate_.OnOtherServiceHeartbeat(now_);
+    }
   }
 
   void ReceiveHopMessages() {
@@ -310,6 +323,7 @@
   }
 
   version::NodeSettings settings_;
+  const Logger* logger_;
   std::function<void()> on_record_missing_;
   SidecarOutput<F> output_;
   ReceiveBatch receive_batch_;
@@ -317,6 +331,8 @@
   Mailbox<std::optional<connection::UpstreamIdentity>> identity_;
   Mailbox<uint64_t> stored_incarnation_ms_;
   std::atomic<bool> heartbeat_received_{false};
+  std::atomic<bool> other_service_received_{false};
+  PauseDetector pause_detector_;
   std::atomic<bool> stopping_{false};
   Clock::time_point now_;
   Clock::time_point next_tick_at_;
--- a/packages/process/src/decision_log.cc
+++ b/packages/process/src/decision_log.cc
@@ -1,6 +1,22 @@
 #include "kumquatvalve/process/decision_log.h"
 
+#include <chrono>
+#include <optional>
+
 namespace kumquatvalve::process {
+namespace {
+
+// Age in milliseconds; "" when there is no such event.
+std::string AgeText(const std::optional<DecisionLog::TimePoint>& at,
+                    DecisionLog::TimePoint now) {
+  return at ? std::to_string(
+                  std::chrono::duration_cast<std::chrono::milliseconds>(now -
+                                                                        *at)
+                      .count())
+            : "";
+}
+
+}  // namespace
 
 std::string FlowId(const request::FlowKey& flow) {
   return request::ToString(flow.caller) + ">" + request::ToString(flow.service);
@@ -60,14 +76,17 @@
   if (!AllowLine(&gate_limits_[index], now, &left_out)) {
     return;
   }
-  logger_->Log(sampled ? LogLevel::kInfo : LogLevel::kWarning,
-               LogEvent::kUpstreamDecided, Name(decision.verdict),
-               {{"flow", FlowId(decision.flow)},
-                {"reason", std::string(Name(decision.reason))},
-                {"in_progress", std::to_string(decision.in_progress)},
-                {"opening", std::to_string(decision.opening)},
-                {"waiting", std::to_string(decision.waiting)},
-                {"left_out", std::to_string(left_out)}});
+  logger_->Log(
+      sampled ? LogLevel::kInfo : LogLevel::kWarning,
+      LogEvent::kUpstreamDecided, Name(decision.verdict),
+      {{"flow", FlowId(decision.flow)},
+       {"reason", std::string(Name(decision.reason))},
+       {"in_progress", std::to_string(decision.in_progress)},
+       {"opening", std::to_string(decision.opening)},
+       {"waiting", std::to_string(decision.waiting)},
+       {"heartbeat_age_ms", AgeText(decision.heartbeat_at, now)},
+       {"other_service_age_ms", AgeText(decision.other_service_at, now)},
+       {"left_out", std::to_string(left_out)}});
 }
 
 }  // namespace kumquatvalve::process
--- a/packages/process/test/decision_log_test.cc
+++ b/packages/process/test/decision_log_test.cc
@@ -118,6 +118,27 @@
   CHECK(log.EntryCount(EntryVerdict::kNoRoute) == 1);
 }
 
+TEST_CASE(
+    "decision_log: a sidecar's decisions state how old the last heartbeats of "
+    "its upstream and of another service are") {
+  CapturedOutput output;
+  const Logger logger("s-1", LogFormat::kJson, LogLevel::kInfo);
+  DecisionLog log(&logger);
+  const DecisionLog::TimePoint now{std::chrono::hours(1)};
+  connection::GateDecision decision;
+  decision.verdict = connection::GateVerdict::kReturned;
+  log.LogGateDecision(decision, now);
+  decision.heartbeat_at = now - std::chrono::milliseconds(2400);
+  decision.other_service_at = now - std::chrono::milliseconds(7);
+  log.LogGateDecision(decision, now);
+  const auto lines = output.Lines();
+  REQUIRE(lines.size() == 2);
+  CHECK(lines[0]["heartbeat_age_ms"] == "");
+  CHECK(lines[0]["other_service_age_ms"] == "");
+  CHECK(lines[1]["heartbeat_age_ms"] == "2400");
+  CHECK(lines[1]["other_service_age_ms"] == "7");
+}
+
 TEST_CASE("decision_log: a slow log reader does not block the process") {
   int pipe_fds[2] = {};
   REQUIRE(pipe(pipe_fds) == 0);
