Sidecar: deliver first packets only with a lease on the upstream's address

Cause: a sidecar delivered first packets of its service to its upstream's address for as long as it ran. When the upstream had crashed and one of another service had started at the address, heartbeats of that one were rejected and had no effect; silence, a pause of the sidecar and a restart with the earlier settings took nothing back either, and copies of a first packet that was admitted before were delivered without any check.

Change: connection/address_lease decides whether the upstream of the sidecar's service is behind its address. Heartbeats of the upstream grant the lease, packets from the address renew it, silence for almost the time after which the address may be used again ends it, and a heartbeat of another service withdraws it until heartbeats of the upstream show that it is still there. Evidence counts from when it was sent at the earliest, so what waited in the sockets of a paused process proves nothing. Without the lease first packets are returned, or wait for the next heartbeat where entry instances have no better choice; no store call, health check or message is added.

--- a/packages/connection/include/kumquatvalve/connection/gate_decision.h
+++ b/packages/connection/include/kumquatvalve/connection/gate_decision.h
@@ -9,6 +9,7 @@
 #include <span>
 #include <string_view>
 
+#include "kumquatvalve/connection/address_lease.h"
 #include "kumquatvalve/connection/admission_policy.h"
 #include "kumquatvalve/request/flow_key.h"
 #include "kumquatvalve/request/hop_message.h"
@@ -45,15 +46,18 @@
   /// A first packet was delivered to the upstream, which is unresponsive, to
   /// find out whether it responds again.
   kTrial,
+  /// The state of the lease on the upstream's address changed; see
+  /// `LeaseState`.
+  kLease,
 };
 
-inline constexpr size_t kGateVerdicts = 11;
+inline constexpr size_t kGateVerdicts = 12;
 
 constexpr std::string_view Name(GateVerdict verdict) {
   constexpr std::array<std::string_view, kGateVerdicts> kNames = {
       "admitted", "returned",     "adopted",      "probed",
       "not_held", "lost",         "unresponsive", "responsive",
-      "waiting",  "earlier_flow", "trial"};
+      "waiting",  "earlier_flow", "trial",        "lease"};
   return kNames[static_cast<size_t>(verdict)];
 }
 
@@ -68,6 +72,7 @@
   uint16_t opening = 0;
   /// First packets that wait at the sidecar.
   size_t waiting = 0;
+  LeaseState lease = LeaseState::kLapsed;
   /// When the upstream's last heartbeat was accepted; empty before the first.
   std::optional<TimePoint> heartbeat_at;
   /// When the last heartbeat of another service arrived; empty before the
--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -16,6 +16,7 @@
 #include <utility>
 #include <vector>
 
+#include "kumquatvalve/connection/address_lease.h"
 #include "kumquatvalve/connection/admission_policy.h"
 #include "kumquatvalve/connection/gate_decision.h"
 #include "kumquatvalve/connection/identity_tracker.h"
@@ -40,8 +41,14 @@
  public:
   /// @param service the service name from the settings, used until the upstream
   ///   announces its own.
-  UpstreamGate(std::string_view service, S* sink)
-      : tag_(request::ServiceTagOf(service)), sink_(sink) {}
+  /// @param lease_duration see `LeaseDuration`.
+  UpstreamGate(std::string_view service,
+               std::chrono::milliseconds lease_duration, S* sink)
+      : tag_(request::ServiceTagOf(service)),
+        sink_(sink),
+        lease_(lease_duration) {
+    load_.unresponsive = true;
+  }
 
   UpstreamGate(const UpstreamGate&) = delete;
   UpstreamGate& operator=(const UpstreamGate&) = delete;
@@ -78,16 +85,35 @@
 
   /// A heartbeat of the upstream was accepted; `OnIdentity` is called before
   /// when it changed the identity.
-  void OnHeartbeat(TimePoint now) {
+  /// @param sent_after the heartbeat was sent at this time or later.
+  void OnHeartbeat(TimePoint sent_after, TimePoint now) {
     heartbeat_at_ = now;
+    lease_.OnHeartbeat(sent_after, now);
     responsiveness_.OnHeartbeat();
-    if (UpdateReportedResponsiveness(now)) {
-      SendReports(now);
-    }
+    CheckLease(now);
+    AdmitWaiting(now);
+  }
+
+  /// A heartbeat arrived that names another service: first packets go to the
+  /// upstream only after it has shown that it is still there.
+  void OnOtherServiceHeartbeat(const OtherServiceHeartbeat& heartbeat,
+                               TimePoint now) {
+    other_service_at_ = now;
+    lease_.OnOtherService(heartbeat, now);
+    CheckLease(now);
   }
 
-  /// A heartbeat arrived that names another service.
-  void OnOtherServiceHeartbeat(TimePoint now) { other_service_at_ = now; }
+  /// The machine was suspended for `time`, during which the clock of `now`
+  /// stood still.
+  void OnSuspension(std::chrono::milliseconds time, TimePoint now) {
+    lease_.OnSuspension(time);
+    CheckLease(now);
+  }
+
+  /// The upstream's packets that are passed in from now on were sent at `time`
+  /// or later; they may have waited since then. Without a call they count as
+  /// sent when they are passed in.
+  void SetPacketsSentAfter(TimePoint time) { packets_sent_after_ = time; }
 
   /// The upstream has left or this process is about to stop: returns waiting
   /// first packets and all later ones.
@@ -115,7 +141,7 @@
     const auto it = flows_.find(packet.flow);
     if (packet.IsFirst()) {
       if (it != flows_.end() && it->second.caller_isn == packet.sequence) {
-        sink_->Deliver(packet.bytes);
+        OnRepeatedFirstPacket(packet, now);
       } else if (!waiting_.Contains(packet.flow)) {
         OnFirstPacket(entry, message, packet, now);
       }
@@ -148,6 +174,7 @@
   /// A packet that the upstream sent, to be passed to the caller. A flow that
   /// is not in the table is added, since the upstream holds it.
   void OnUpstreamPacket(const request::ParsedPacket& packet, TimePoint now) {
+    lease_.OnPacket(packets_sent_after_.value_or(now), now);
     const request::FlowKey key = request::Reverse(packet.flow);
     NoteResponse(key, now);
     auto it = flows_.find(key);
@@ -190,6 +217,7 @@
   /// to its entry instance; any other shows that the upstream does not hold the
   /// flow, which is reset when it was open here.
   void OnRejectedPacket(const request::ParsedPacket& packet, TimePoint now) {
+    lease_.OnPacket(packets_sent_after_.value_or(now), now);
     NoteResponse(packet.flow, now);
     const auto it = flows_.find(packet.flow);
     if (it == flows_.end()) {
@@ -223,6 +251,7 @@
   void OnTick(TimePoint now) {
     first_tick_at_ = first_tick_at_.value_or(now);
     ran_for_idle_ttl_ = now - *first_tick_at_ >= kIdleFlowTtl;
+    CheckLease(now);
     CheckResponsiveness(now);
     AdmitWaiting(now);
     RefreshServiceTime(now);
@@ -254,6 +283,7 @@
   const request::UpstreamLoad& load() const { return load_; }
   size_t waiting() const { return waiting_.size(); }
   const UpstreamIdentity& identity() const { return identity_; }
+  LeaseState LeaseAt(TimePoint now) const { return lease_.State(now); }
   /// When the last message of any entry instance arrived.
   TimePoint last_entry_message_at() const { return last_entry_message_at_; }
 
@@ -362,8 +392,8 @@
       GateVerdict verdict, const request::FlowKey& flow,
       request::ReturnReason reason = request::ReturnReason::kNone) {
     sink_->RecordDecision({verdict, flow, reason, load_.in_progress,
-                           load_.opening, waiting_.size(), heartbeat_at_,
-                           other_service_at_});
+                           load_.opening, waiting_.size(), reported_lease_,
+                           heartbeat_at_, other_service_at_});
   }
 
   // Expected requests of the opening flows. Not every opening flow sends a
@@ -407,6 +437,11 @@
       Return(entry, packet, request::ReturnReason::kDraining);
       return;
     }
+    CheckLease(now);
+    if (reported_lease_ != LeaseState::kHeld) {
+      OnFirstPacketWithoutLease(entry, message, packet, now);
+      return;
+    }
     if (!responsiveness_.AcceptsFirstPacket(now)) {
       Return(entry, packet, request::ReturnReason::kUnresponsive);
       return;
@@ -420,20 +455,11 @@
       case OfferAction::kDeliver:
         Admit(entry, packet, now);
         return;
-      case OfferAction::kWait: {
-        WaitingFlow flow;
-        flow.flow = packet.flow;
-        flow.caller_isn = packet.sequence;
-        flow.entry = entry;
-        flow.deadline = now + message.max_wait;
-        flow.on_time_until = on_time_until;
-        flow.bytes.assign(packet.bytes.begin(), packet.bytes.end());
-        if (waiting_.Push(std::move(flow))) {
-          RecordVerdict(GateVerdict::kWaiting, packet.flow);
+      case OfferAction::kWait:
+        if (KeepWaiting(entry, message, packet, now)) {
           return;
         }
         break;
-      }
       case OfferAction::kReturn:
         break;
     }
@@ -443,6 +469,78 @@
     Return(entry, packet, request::ReturnReason::kQueueFull);
   }
 
+  // A first packet while nothing shows that the upstream is behind its address.
+  // While it is only silent, its next heartbeat may arrive in time, so a flow
+  // that has no better choice waits for it. An upstream of another service
+  // stays.
+  void OnFirstPacketWithoutLease(const request::Endpoint& entry,
+                                 const request::HopMessage& message,
+                                 const request::ParsedPacket& packet,
+                                 TimePoint now) {
+    SendReport(entry);
+    const bool heartbeat_expected =
+        reported_lease_ == LeaseState::kLapsed &&
+        !responsiveness_.unresponsive() &&
+        now - lapsed_at_.value_or(now) < lease_.duration();
+    if (!heartbeat_expected) {
+      Return(entry, packet, request::ReturnReason::kUnresponsive);
+      return;
+    }
+    const bool may_wait = message.final_offer && message.max_wait.count() != 0;
+    if (!may_wait || !KeepWaiting(entry, message, packet, now)) {
+      Return(entry, packet, request::ReturnReason::kQueueFull);
+    }
+  }
+
+  // Adds a first packet to the queue.
+  // @return false when the queue is full.
+  bool KeepWaiting(const request::Endpoint& entry,
+                   const request::HopMessage& message,
+                   const request::ParsedPacket& packet, TimePoint now) {
+    WaitingFlow flow;
+    flow.flow = packet.flow;
+    flow.caller_isn = packet.sequence;
+    flow.entry = entry;
+    flow.deadline = now + message.max_wait;
+    flow.on_time_until = OnTimeUntil(message, now);
+    flow.bytes.assign(packet.bytes.begin(), packet.bytes.end());
+    const bool added = waiting_.Push(std::move(flow));
+    if (added) {
+      RecordVerdict(GateVerdict::kWaiting, packet.flow);
+    }
+    return added;
+  }
+
+  // A copy of a first packet that was admitted. The upstream that got the first
+  // one may have been replaced since, and then this one would open the flow at
+  // another service. It is not returned, since the upstream may hold the flow.
+  void OnRepeatedFirstPacket(const request::ParsedPacket& packet,
+                             TimePoint now) {
+    if (lease_.State(now) == LeaseState::kHeld) {
+      sink_->Deliver(packet.bytes);
+    }
+  }
+
+  // Applies a change of the lease's state: entry instances place no flows at an
+  // upstream that has none, and flows do not wait for one of another service.
+  void CheckLease(TimePoint now) {
+    const LeaseState state = lease_.State(now);
+    if (state != LeaseState::kLapsed) {
+      lapsed_at_.reset();
+    } else if (!lapsed_at_) {
+      lapsed_at_ = now;
+    }
+    if (std::exchange(reported_lease_, state) != state) {
+      RecordVerdict(GateVerdict::kLease, {});
+      if (state == LeaseState::kContested) {
+        ReturnWaiting(request::ReturnReason::kUnresponsive);
+      }
+    }
+    if (UpdateReportedResponsiveness(now)) {
+      SendReports(now);
+    }
+  }
+
   void Admit(const request::Endpoint& entry,
              const request::ParsedPacket& packet, TimePoint now) {
     if (const auto existing = flows_.find(packet.flow);
@@ -492,6 +590,7 @@
     // late.
     const bool response_late = responsiveness_.IsResponseLate(now);
     while (!response_late && !waiting_.empty() &&
+           lease_.State(now) == LeaseState::kHeld &&
            HasRoom(CurrentOfferState())) {
       if (const auto it = waiting_.Pop(now)) {
         Admit(it->entry, it->ToPacket(), now);
@@ -764,7 +863,8 @@
   // @return whether the report changed.
   bool UpdateReportedResponsiveness(TimePoint now) {
     const bool reported =
-        responsiveness_.unresponsive() && !responsiveness_.InvitesTrial(now);
+        lease_.State(now) != LeaseState::kHeld ||
+        (responsiveness_.unresponsive() && !responsiveness_.InvitesTrial(now));
     return std::exchange(load_.unresponsive, reported) != reported;
   }
 
@@ -851,6 +951,13 @@
   /// Moving mean of the share of admitted flows that sent a request.
   double opened_share_ = 1.0;
   Responsiveness responsiveness_;
+  AddressLease lease_;
+  /// The state of the lease at the last check.
+  LeaseState reported_lease_ = LeaseState::kLapsed;
+  /// When a check first found the lease lapsed; empty while it has not.
+  std::optional<TimePoint> lapsed_at_;
+  /// See `SetPacketsSentAfter`.
+  std::optional<TimePoint> packets_sent_after_;
   TimePoint next_sweep_at_;
 };
 
--- /dev/null
+++ b/packages/connection/test/address_lease_test.cc
@@ -0,0 +1,248 @@
+#include "kumquatvalve/connection/address_lease.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "property.h"
+
+namespace kumquatvalve::connection {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kDuration{1750};
+constexpr milliseconds kInterval{1200};
+
+struct Fixture {
+  void Heartbeat() { lease.OnHeartbeat(now, now); }
+  void OtherService(uint64_t sequence, const std::string& instance = "i-2") {
+    lease.OnOtherService({"evidencia", {instance, 5000}, sequence}, now);
+  }
+  void Packet() { lease.OnPacket(now, now); }
+  void Advance(milliseconds time) { now += time; }
+  LeaseState State() const { return lease.State(now); }
+
+  TimePoint now{std::chrono::hours(1)};
+  AddressLease lease{kDuration};
+};
+
+TEST_CASE("address_lease: a sidecar that has just started holds no lease") {
+  Fixture f;
+  CHECK(f.State() == LeaseState::kLapsed);
+  // Whoever sends packets may be of another service.
+  f.Packet();
+  CHECK(f.State() == LeaseState::kLapsed);
+  f.Heartbeat();
+  CHECK(f.State() == LeaseState::kHeld);
+}
+
+TEST_CASE(
+    "address_lease: the lease ends before another upstream can use the "
+    "address") {
+  constexpr milliseconds kReuseDelay{2000};
+  Fixture f;
+  f.lease = AddressLease(LeaseDuration(kReuseDelay));
+  f.Heartbeat();
+  f.Advance(kReuseDelay - kMaxDeliveryDelay);
+  CHECK(f.State() == LeaseState::kLapsed);
+  // The first packet from the address after that may be the next upstream's.
+  f.Packet();
+  CHECK(f.State() == LeaseState::kLapsed);
+}
+
+TEST_CASE("address_lease: an address that is used again at once has a lease") {
+  CHECK(LeaseDuration(milliseconds(2000)) == milliseconds(1750));
+  CHECK(LeaseDuration(milliseconds(0)) == milliseconds(250));
+}
+
+TEST_CASE(
+    "address_lease: packets of the upstream keep the lease while its "
+    "heartbeats are lost") {
+  Fixture f;
+  f.Heartbeat();
+  for (int i = 0; i < 60; ++i) {
+    f.Advance(milliseconds(1000));
+    f.Packet();
+    REQUIRE(f.State() == LeaseState::kHeld);
+  }
+}
+
+// Guards against delivery after a pause: what waited in the sockets meanwhile
+// was sent by an upstream that may have been replaced since.
+TEST_CASE(
+    "address_lease: messages that waited during a pause do not renew it") {
+  Fixture f;
+  f.Heartbeat();
+  f.Advance(milliseconds(500));
+  const TimePoint paused_at = f.now;
+  SECTION("longer than the lease") {
+    f.Advance(milliseconds(3000));
+    f.lease.OnPacket(paused_at, f.now);
+    f.lease.OnHeartbeat(paused_at, f.now);
+    CHECK(f.State() == LeaseState::kLapsed);
+  }
+  SECTION("shorter than the lease") {
+    f.Advance(milliseconds(1000));
+    f.lease.OnPacket(paused_at, f.now);
+    CHECK(f.State() == LeaseState::kHeld);
+    f.Advance(milliseconds(800));
+    CHECK(f.State() == LeaseState::kLapsed);
+  }
+  SECTION("while the machine was suspended and its clock stood still") {
+    f.lease.OnSuspension(milliseconds(1500));
+    CHECK(f.State() == LeaseState::kLapsed);
+  }
+}
+
+TEST_CASE(
+    "address_lease: a heartbeat of another service withdraws the lease for "
+    "good when its upstream has replaced this one") {
+  Fixture f;
+  f.Heartbeat();
+  for (uint64_t sequence = 1; sequence < 20; ++sequence) {
+    f.Advance(kInterval);
+    f.OtherService(sequence);
+    f.Packet();
+    REQUIRE(f.State() == LeaseState::kContested);
+  }
+}
+
+TEST_CASE(
+    "address_lease: one heartbeat of another service costs the upstream one "
+    "heartbeat interval at most") {
+  Fixture f;
+  f.Heartbeat();
+  f.Advance(milliseconds(600));
+  f.OtherService(7);
+  CHECK(f.State() == LeaseState::kContested);
+  f.Advance(kInterval - milliseconds(600));
+  f.Heartbeat();
+  CHECK(f.State() == LeaseState::kHeld);
+}
+
+// Guards against a service that loses an upstream to another writer, which
+// goes on sending heartbeats to its address.
+TEST_CASE(
+    "address_lease: repeated heartbeats of another writer have no effect once "
+    "the upstream has sent three") {
+  Fixture f;
+  f.Heartbeat();
+  uint64_t sequence = 0;
+  for (int i = 0; i < 3; ++i) {
+    f.Advance(kInterval / 2);
+    f.OtherService(++sequence);
+    f.Advance(kInterval / 2);
+    f.Heartbeat();
+  }
+  CHECK(f.State() == LeaseState::kHeld);
+  for (int i = 0; i < 20; ++i) {
+    f.Advance(kInterval / 2);
+    f.OtherService(++sequence);
+    REQUIRE(f.State() == LeaseState::kHeld);
+    f.Advance(kInterval / 2);
+    f.Heartbeat();
+  }
+  // Until the upstream is silent.
+  f.Advance(kDuration);
+  f.OtherService(++sequence);
+  CHECK(f.State() == LeaseState::kContested);
+}
+
+TEST_CASE(
+    "address_lease: a late heartbeat of the earlier upstream does not restore "
+    "the lease once the next one has sent two") {
+  Fixture f;
+  f.Heartbeat();
+  f.Advance(milliseconds(2500));
+  f.OtherService(1);
+  f.Advance(kInterval);
+  f.OtherService(2);
+  f.Advance(milliseconds(600));
+  f.Heartbeat();
+  CHECK(f.State() == LeaseState::kContested);
+  f.Advance(milliseconds(600));
+  f.OtherService(3);
+  f.Advance(milliseconds(600));
+  f.Heartbeat();
+  CHECK(f.State() == LeaseState::kContested);
+}
+
+TEST_CASE(
+    "address_lease: heartbeats of both services that were delayed together "
+    "leave it contested in any order") {
+  Fixture f;
+  f.Heartbeat();
+  f.Advance(milliseconds(1000));
+  const bool own_first = GENERATE(true, false);
+  if (own_first) {
+    f.Heartbeat();
+    f.Advance(milliseconds(1));
+  }
+  f.OtherService(1);
+  for (int i = 0; i < 5; ++i) {
+    f.Advance(milliseconds(1));
+    f.Heartbeat();
+  }
+  CHECK(f.State() == LeaseState::kContested);
+}
+
+TEST_CASE("address_lease: a repeated heartbeat of another service is ignored") {
+  Fixture f;
+  f.Heartbeat();
+  f.OtherService(3);
+  f.Advance(kInterval);
+  f.Heartbeat();
+  REQUIRE(f.State() == LeaseState::kHeld);
+  f.OtherService(3);
+  f.OtherService(2);
+  CHECK(f.State() == LeaseState::kHeld);
+}
+
+// Any series of messages, then the upstream or its successor alone.
+TEST_CASE(
+    "address_lease: property: an upstream gets its lease back and one of "
+    "another service does not get it") {
+  CHECK(Holds([] {
+    Fixture f;
+    uint64_t sequence = 0;
+    const auto steps =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 40));
+    for (const int step : steps) {
+      f.Advance(milliseconds(step / 4 * 200));
+      switch (step % 4) {
+        case 0:
+          f.Heartbeat();
+          break;
+        case 1:
+          f.OtherService(++sequence);
+          break;
+        case 2:
+          f.OtherService(1, "i-" + std::to_string(step));
+          break;
+        default:
+          f.Packet();
+      }
+    }
+    const bool returns = *rc::gen::arbitrary<bool>();
+    if (returns) {
+      for (int i = 0; i < AddressLease::kMessagesToDismiss; ++i) {
+        f.Advance(kInterval);
+        f.Heartbeat();
+      }
+      RC_ASSERT(f.State() == LeaseState::kHeld);
+      return;
+    }
+    f.Advance(kDuration);
+    for (int i = 0; i < 10; ++i) {
+      f.Packet();
+      RC_ASSERT(f.State() != LeaseState::kHeld);
+      f.OtherService(++sequence);
+      f.Advance(milliseconds(300));
+    }
+  }));
+}
+
+}  // namespace
+}  // namespace kumquatvalve::connection
--- a/packages/process/include/kumquatvalve/process/sidecar_node.h
+++ b/packages/process/include/kumquatvalve/process/sidecar_node.h
@@ -17,6 +17,7 @@
 #include "kumquatvalve/process/logging.h"
 #include "kumquatvalve/process/node_metrics.h"
 #include "kumquatvalve/process/packet_format.h"
+#include "kumquatvalve/process/send_times.h"
 #include "kumquatvalve/process/traffic_loop.h"
 #include "kumquatvalve/version/node_settings.h"
 
@@ -27,7 +28,8 @@
 template <PacketFormat F>
 class SidecarOutput {
  public:
-  using TimePoint = std::chrono::steady_clock::time_point;
+  using Clock = std::chrono::steady_clock;
+  using TimePoint = Clock::time_point;
 
   SidecarOutput(const version::NodeSettings& settings, const Logger* logger)
       : caller_port_(settings.packets.port),
@@ -49,12 +51,15 @@
 
   /// Sends the packets that were collected since the last call.
   void Flush() {
-    to_upstream_.Flush();
+    FlushToUpstream();
     to_nodes_.Flush();
   }
 
   /// Sends a caller's packet to the upstream.
   void Deliver(std::span<const std::byte> packet) {
+    if (to_upstream_.full()) {
+      FlushToUpstream();
+    }
     to_upstream_.Send({}, packet, upstream_);
     counters_.Count(PacketEvent::kDelivered);
   }
@@ -94,6 +99,15 @@
   NodeMetrics& metrics() { return metrics_; }
 
  private:
+  // Packets are dropped when the process was paused after the decision to
+  // deliver them, since the address may have another upstream now.
+  void FlushToUpstream() {
+    if (Clock::now() - now_ > connection::kMaxDeliveryDelay) {
+      counters_.Count(PacketEvent::kSendFailed, to_upstream_.Discard());
+    }
+    to_upstream_.Flush();
+  }
+
   uint16_t caller_port_;
   request::Endpoint upstream_;
   DecisionLog log_;
@@ -127,7 +141,9 @@
         output_(settings, logger),
         guard_("traffic", logger,
                [this] { output_.metrics().OnUnexpectedError(); }),
-        gate_(settings.upstream->service.text(), &output_) {}
+        gate_(settings.upstream->service.text(),
+              connection::LeaseDuration(settings.upstream->address_reuse),
+              &output_) {}
 
   /// Binds the sockets; to be called before `Run`.
   /// @return false and `kSocketError` when an endpoint cannot be bound.
@@ -147,11 +163,16 @@
     stored_incarnation_ms_.Put(incarnation_ms);
   }
 
-  /// Notes that a heartbeat of the upstream was accepted.
-  void PublishHeartbeat() { heartbeat_received_ = true; }
+  /// Hands over that a heartbeat of the upstream was accepted.
+  void PublishHeartbeat() {
+    heartbeats_.Add({.received_at = Clock::now(), .other_service = {}});
+  }
 
-  /// Notes that a heartbeat named another service.
-  void PublishOtherServiceHeartbeat() { other_service_received_ = true; }
+  /// Hands over a heartbeat that names another service.
+  void PublishOtherServiceHeartbeat(
+      connection::OtherServiceHeartbeat heartbeat) {
+    heartbeats_.Add({Clock::now(), std::move(heartbeat)});
+  }
 
   /// True until `Stop` is called.
   bool Ready() const { return !stopping_; }
@@ -180,6 +201,12 @@
  private:
   using Gate = connection::UpstreamGate<SidecarOutput<F>>;
 
+  struct ReceivedHeartbeat {
+    Clock::time_point received_at;
+    /// Empty for a heartbeat of the upstream.
+    std::optional<connection::OtherServiceHeartbeat> other_service;
+  };
+
   // Bits that `WaitReadable` returns, in the order of its handles.
   static constexpr uint32_t kHopsReadable = 1U << 0;
   static constexpr uint32_t kUpstreamReadable = 1U << 1;
@@ -207,12 +234,18 @@
       logger_->Log(LogLevel::kWarning, LogEvent::kProcessPaused,
                    "the process was paused", {});
     }
+    const auto suspended = send_times_.OnIteration(now_, TimeSinceBoot());
+    if (suspended.count() != 0) {
+      gate_.OnSuspension(suspended, now_);
+    }
     ApplyPublishedUpdates();
     if ((readable & kHopsReadable) != 0) {
       ReceiveHopMessages();
     }
     if ((readable & kUpstreamReadable) != 0) {
       ReceiveUpstreamPackets();
+    } else {
+      upstream_socket_empty_at_ = send_times_.previous();
     }
     if (now_ >= next_tick_at_) {
       next_tick_at_ = now_ + Gate::kTick;
@@ -247,6 +280,7 @@
         {"incarnation_ms", gate_.identity().incarnation_ms},
         {"draining", load.draining},
         {"unresponsive", load.unresponsive},
+        {"lease", Name(gate_.LeaseAt(now_))},
         {"slots", load.slots},
         {"in_progress", load.in_progress},
         {"opening", load.opening},
@@ -267,11 +301,12 @@
     if (const auto it = stored_incarnation_ms_.Take()) {
       gate_.OnStoredIncarnation(*it);
     }
-    if (heartbeat_received_.exchange(false)) {
-      gate_.OnHeartbeat(now_);
-    }
-    if (other_service_received_.exchange(false)) {
-      gate_.OnOtherServiceHeartbeat(now_);
+    for (const ReceivedHeartbeat& it : heartbeats_.TakeAll()) {
+      if (it.other_service) {
+        gate_.OnOtherServiceHeartbeat(*it.other_service, now_);
+      } else {
+        gate_.OnHeartbeat(send_times_.SentAfter(it.received_at), now_);
+      }
     }
   }
 
@@ -302,8 +337,12 @@
   }
 
   void ReceiveUpstreamPackets() {
+    gate_.SetPacketsSentAfter(upstream_socket_empty_at_);
     const size_t n = receive_batch_.Receive(output_.upstream_socket());
     output_.counters().Count(PacketEvent::kFromUpstream, n);
+    if (n < kBatchPackets) {
+      upstream_socket_empty_at_ = now_;
+    }
     for (size_t i = 0; i < n; ++i) {
       const std::span<std::byte> bytes = receive_batch_.Packet(i);
       const bool returned = F::IsReturned(bytes);
@@ -330,9 +369,11 @@
   StatusRequest status_request_;
   Mailbox<std::optional<connection::UpstreamIdentity>> identity_;
   Mailbox<uint64_t> stored_incarnation_ms_;
-  std::atomic<bool> heartbeat_received_{false};
-  std::atomic<bool> other_service_received_{false};
+  EventQueue<ReceivedHeartbeat> heartbeats_;
   PauseDetector pause_detector_;
+  SendTimes send_times_;
+  /// No packet waited on the upstream's socket at this time.
+  Clock::time_point upstream_socket_empty_at_;
   std::atomic<bool> stopping_{false};
   Clock::time_point now_;
   Clock::time_point next_tick_at_;
--- a/packages/process/include/kumquatvalve/process/traffic_loop.h
+++ b/packages/process/include/kumquatvalve/process/traffic_loop.h
@@ -10,6 +10,7 @@
 #include <span>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "kumquatvalve/process/traffic_counters.h"
 #include "kumquatvalve/process/udp_batch.h"
@@ -37,6 +38,32 @@
   std::optional<T> value_;
 };
 
+/// Hands events from any thread to the traffic thread in their order. When it
+/// does not take them, only the newest ones are kept.
+template <typename T>
+class EventQueue {
+ public:
+  void Add(T event) {
+    const std::lock_guard lock(mutex_);
+    if (events_.size() == kMaxEvents) {
+      events_.erase(events_.begin());
+    }
+    events_.push_back(std::move(event));
+  }
+  /// Removes and returns all events.
+  std::vector<T> TakeAll() {
+    const std::lock_guard lock(mutex_);
+    return std::exchange(events_, {});
+  }
+
+ private:
+  // More than arrive between two iterations of the traffic loop.
+  static constexpr size_t kMaxEvents = 64;
+
+  std::mutex mutex_;
+  std::vector<T> events_;
+};
+
 /// Lets any thread query the traffic thread for a text that describes its
 /// state.
 class StatusRequest {
@@ -92,6 +119,12 @@
     batch_.AddCopy(head, bytes, to);
   }
 
+  bool full() const { return batch_.full(); }
+
+  /// Drops the datagrams added since the last flush.
+  /// @return their number.
+  size_t Discard() { return batch_.Clear(); }
+
   /// Sends the datagrams added so far.
   void Flush() {
     if (batch_.empty()) {
--- a/packages/process/include/kumquatvalve/process/udp_batch.h
+++ b/packages/process/include/kumquatvalve/process/udp_batch.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <utility>
 #include <vector>
 
 #include "kumquatvalve/request/endpoint.h"
@@ -98,6 +99,10 @@
   bool full() const { return size_ == kBatchPackets; }
   bool empty() const { return size_ == 0; }
 
+  /// Removes the packets that were added.
+  /// @return their number.
+  size_t Clear() { return std::exchange(size_, 0); }
+
   /// Sends the packets that were added and empties the batch. A packet that the
   /// kernel does not accept is dropped.
   /// @return the number of dropped packets.
--- a/packages/process/src/decision_log.cc
+++ b/packages/process/src/decision_log.cc
@@ -84,6 +84,7 @@
        {"in_progress", std::to_string(decision.in_progress)},
        {"opening", std::to_string(decision.opening)},
        {"waiting", std::to_string(decision.waiting)},
+       {"lease", std::string(Name(decision.lease))},
        {"heartbeat_age_ms", AgeText(decision.heartbeat_at, now)},
        {"other_service_age_ms", AgeText(decision.other_service_at, now)},
        {"left_out", std::to_string(left_out)}});
--- a/packages/version/include/kumquatvalve/version/node_settings.h
+++ b/packages/version/include/kumquatvalve/version/node_settings.h
@@ -25,6 +25,9 @@
   request::Endpoint announce;
   /// Service of the upstream. Heartbeats that name another one are rejected.
   request::ServiceName service;
+  /// Time between the end of an upstream and the next use of its address, at
+  /// least.
+  std::chrono::milliseconds address_reuse{2000};
 };
 
 /// Settings of a process that gets its configuration from the platform's store.
--- a/packages/version/src/node_settings.cc
+++ b/packages/version/src/node_settings.cc
@@ -1,6 +1,7 @@
 #include "kumquatvalve/version/node_settings.h"
 
 #include <array>
+#include <cmath>
 
 #include "kumquatvalve/version/settings_schema.h"
 
@@ -9,6 +10,8 @@
 
 using Type = SettingType;
 
+constexpr double kMillisecondsPerSecond = 1000;
+
 constexpr auto kNodeSchema = std::to_array<SettingSchema>({
     {.key = "role",
      .type = Type::kChoice,
@@ -81,6 +84,16 @@
      .required = true,
      .only_for_role = "sidecar",
      .doc = "Service of the upstream; heartbeats of another one are rejected."},
+    {.key = "upstream.address_reuse_s",
+     .type = Type::kNumber,
+     .default_text = "2",
+     .min_value = 0,
+     .max_value = 600,
+     .only_for_role = "sidecar",
+     .doc = "Time between the end of an upstream and the next use of its "
+            "address by another one, at least, s. An upstream that is silent "
+            "for almost that time gets no first packets until its next "
+            "heartbeat."},
     {.key = "log_level",
      .type = Type::kChoice,
      .default_text = "info",
@@ -135,6 +148,8 @@
   upstream.outbound = reader->Endpoint("upstream.outbound");
   upstream.announce = reader->Endpoint("upstream.announce");
   upstream.service = request::ServiceName(reader->Text("upstream.service"));
+  upstream.address_reuse = std::chrono::milliseconds(std::lround(
+      reader->Number("upstream.address_reuse_s") * kMillisecondsPerSecond));
   settings.upstream = upstream;
   return settings;
 }
--- a/packages/version/test/node_settings_test.cc
+++ b/packages/version/test/node_settings_test.cc
@@ -62,6 +62,21 @@
         ResultCode::kOutOfRange);
 }
 
+TEST_CASE("node_settings: the time before an address is used again is read") {
+  std::vector<SettingsError> errors;
+  const auto without = ParseNodeSettings(kSidecar, "node.yaml", &errors);
+  REQUIRE(without);
+  CHECK(without->upstream->address_reuse == std::chrono::milliseconds(2000));
+  const auto with = ParseNodeSettings(kSidecar + "  address_reuse_s: 2.5\n",
+                                      "node.yaml", &errors);
+  REQUIRE(with);
+  CHECK(with->upstream->address_reuse == std::chrono::milliseconds(2500));
+  CHECK(ParseErrors(kSidecar + "  address_reuse_s: -1\n").front().code ==
+        ResultCode::kOutOfRange);
+  CHECK_FALSE(
+      ParseErrors(kEntry + "upstream:\n  address_reuse_s: 2\n").empty());
+}
+
 TEST_CASE("node_settings: peers are optional") {
   std::vector<SettingsError> errors;
   const auto alone = ParseNodeSettings(kEntry, "node.yaml", &errors);
