--- a/packages/process/test/peer_client_test.cc
+++ b/packages/process/test/peer_client_test.cc
@@ -65,7 +65,9 @@
   Failure failure;
   CHECK_FALSE(client.FetchSnapshot(&failure));
   CHECK(failure.code == ResultCode::kBadAnswer);
-  CHECK(client.FetchSnapshot(&failure));
+  const auto fetched = client.FetchSnapshot(&failure);
+  INFO(ToString(failure));
+  CHECK(fetched);
 }
 
 TEST_CASE("peer_client: a record is sent to all peers") {
