Fleet sidecar: deliver nothing to an upstream that announced another service

What callers saw: packets of order-desk reached an upstream of artwork that had started at the address of an order-desk upstream, for as long as no table moved the address. The object API has to be available for that.

Cause: the sidecar took the service of its upstream from the forwarding table alone. The announcement that names another service arrives at the same process, but went to the table writer only.

Change: the daemon suspends delivery when the announced service changes, until the next table of the announced service. New flows are passed on to other upstreams as in a drain. The control agent hands a sidecar tables of the announced service only, and the one in force again when the upstream returns to a service, so an announcement of another writer lasts until the next one of the upstream. SidecarRouter keeps the three reasons of a drain apart, so that none of them ends another.

No test plays a table of the earlier service that a relay sends after the announcement.

Remains: from the start of the next upstream to its announcement the sidecar has no word of the change. Nothing in the interface limits the age of an announcement.

--- a/apps/kumquatvalved/fleet.cc
+++ b/apps/kumquatvalved/fleet.cc
@@ -10,6 +10,7 @@
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -23,6 +24,7 @@
 #include "kumquatvalve/process/status_server.h"
 #include "kumquatvalve/process/tracing.h"
 #include "kumquatvalve/version/settings_reader.h"
+#include "kumquatvalve/version/subtree.h"
 #include "settings_change.h"
 
 namespace kumquatvalve::daemon {
@@ -304,6 +306,24 @@
     return true;
   }
 
+  void OnAnnouncement(
+      std::optional<process::UpstreamAnnouncement> announcement) {
+    if (announcement) {
+      const version::ServicePath service{announcement->team,
+                                         announcement->service};
+      if (announced_service_ && *announced_service_ != service) {
+        log_.Log(LogLevel::kInfo, LogEvent::kUpstreamChanged,
+                 "announced another service",
+                 {{"service", ToString(service)},
+                  {"previous", ToString(*announced_service_)}});
+        own_table_.reset();
+        sidecar_->SuspendDelivery();
+      }
+      announced_service_ = service;
+    }
+    agent_->SetAnnouncement(std::move(announcement));
+  }
+
   void RunControlPlane() {
     Failure failure;
     if (agent_ != nullptr) {
@@ -311,7 +331,7 @@
       agent_->SetOpenFlows(OpenFlows());
       if (announce_server_ != nullptr) {
         if (auto change = announce_server_->TakeChange()) {
-          agent_->SetAnnouncement(std::move(*change));
+          OnAnnouncement(std::move(*change));
         }
       }
       agent_->RunOnce(kControlInterval / 2);
@@ -462,6 +482,8 @@
   version::ServiceTable tables_;
   process::PeerTable peers_;
   std::shared_ptr<const version::ForwardingTable> own_table_;
+  /// The last announced service; kept after a withdrawal.
+  std::optional<version::ServicePath> announced_service_;
   bool tables_or_peers_changed_ = false;
   std::atomic<bool> ready_{false};
   std::mutex status_mutex_;
--- a/packages/connection/include/kumquatvalve/connection/sidecar_router.h
+++ b/packages/connection/include/kumquatvalve/connection/sidecar_router.h
@@ -260,15 +260,19 @@
     SendReports(now);
   }
 
-  /// Stops admitting new flows; open flows continue.
+  /// Stops admitting new flows for good; open flows continue.
   void StartDrain(TimePoint now) {
     AdvanceClock(now);
-    draining_ = true;
-    drained_by_table_ = false;
-    policy_->StartDrain(now);
-    ReleaseHeld(now);
-    policy_changed_ = true;
-    SendReports(now);
+    stopping_ = true;
+    UpdateDrain(now);
+  }
+
+  /// Sets whether the upstream may get new flows; initially true. While it may
+  /// not, they are passed on as in a drain.
+  void SetAdmitting(bool admitting, TimePoint now) {
+    AdvanceClock(now);
+    admitting_ = admitting;
+    UpdateDrain(now);
   }
 
   /// Number of flows that a drain has to wait for.
@@ -352,19 +356,28 @@
     }
   }
 
-  // A drain that an operator set in the table can be cancelled; a drain because
-  // this process stops cannot.
   void ApplyTableDrain(TimePoint now) {
     const version::UpstreamEntry* self = rows_.table()->Find(config_.self);
-    const bool drain = self != nullptr && self->draining;
-    if (drain && !draining_) {
-      StartDrain(now);
-      drained_by_table_ = true;
-    } else if (!drain && drained_by_table_) {
-      drained_by_table_ = false;
-      draining_ = false;
+    drained_by_table_ = self != nullptr && self->draining;
+    UpdateDrain(now);
+  }
+
+  // Starts or ends the drain. A drain that an operator set in the table can be
+  // cancelled; a drain because this process stops cannot.
+  void UpdateDrain(TimePoint now) {
+    const bool drain = stopping_ || drained_by_table_ || !admitting_;
+    if (drain == draining_) {
+      return;
+    }
+    draining_ = drain;
+    if (!drain) {
       policy_->EndDrain(now);
+      return;
     }
+    policy_->StartDrain(now);
+    ReleaseHeld(now);
+    policy_changed_ = true;
+    SendReports(now);
   }
 
   void SendReports(TimePoint now) {
@@ -1491,8 +1504,11 @@
   SilentDetector detector_;
   SidecarRouterStats stats_;
   TimePoint now_;
+  // See `UpdateDrain`, which derives it from the next three.
   bool draining_ = false;
+  bool stopping_ = false;
   bool drained_by_table_ = false;
+  bool admitting_ = true;
   // Until then this sidecar has no complete record of the SYNs that reached its
   // upstream.
   TimePoint no_refusal_until_;
--- a/packages/connection/test/sidecar_router_test.cc
+++ b/packages/connection/test/sidecar_router_test.cc
@@ -326,6 +326,26 @@
   CHECK(it.sink.delivered.size() == before + 1);
 }
 
+// Guards against a sidecar that admits flows again while it stops, because a
+// shorter reason not to admit them has ended (R6, R7).
+TEST_CASE("sidecar_router: the drain of a stopping process does not end") {
+  Fixture it;
+  it.OwnRow();
+  it.router->SetAdmitting(false, it.now);
+  it.ReceiveFromEntry(BuildSegment(SynSegment(1000, 5)));
+  CHECK(it.sink.delivered.empty());
+  CHECK(it.sink.forwarded.size() == 1);
+  it.router->SetAdmitting(true, it.now);
+  it.ReceiveFromEntry(BuildSegment(SynSegment(1001, 5)));
+  CHECK(it.sink.delivered.size() == 1);
+
+  it.router->SetAdmitting(false, it.now);
+  it.router->StartDrain(it.now);
+  it.router->SetAdmitting(true, it.now);
+  it.ReceiveFromEntry(BuildSegment(SynSegment(1002, 5)));
+  CHECK(it.sink.delivered.size() == 1);
+}
+
 // A retransmitted SYN that goes to another peer than the first could open the
 // flow at two upstreams.
 TEST_CASE(
--- a/packages/process/include/kumquatvalve/process/control_agent.h
+++ b/packages/process/include/kumquatvalve/process/control_agent.h
@@ -46,7 +46,8 @@
   /// Called with a newer forwarding table of a service and the addresses that
   /// lead to it. Versions of one service only increase. An entry instance
   /// receives the tables of all services, a sidecar that of the service that
-  /// its upstream announced.
+  /// its upstream announced; it receives the current one again when its
+  /// upstream returns to a service.
   virtual void OnTable(
       std::shared_ptr<const version::ForwardingTable> table,
       const std::vector<version::ServiceAddress>& addresses) = 0;
--- a/packages/process/include/kumquatvalve/process/sidecar_process.h
+++ b/packages/process/include/kumquatvalve/process/sidecar_process.h
@@ -45,9 +45,15 @@
   ///   lack the upstream.
   bool Start(request::Failure* failure);
 
-  /// Replaces the forwarding table of the service that the upstream serves.
+  /// Replaces the forwarding table of the service that the upstream serves;
+  /// ends what `SuspendDelivery` started.
   void PublishTable(std::shared_ptr<const version::ForwardingTable> table);
 
+  /// The upstream serves another service than that of the published table. It
+  /// gets no packets until the next table, and new flows of the table's service
+  /// are passed on to other upstreams.
+  void SuspendDelivery();
+
   /// Replaces the membership state of all instances. Packets of a sender that
   /// is not in the newest table are dropped.
   void PublishPeers(PeerTable peers);
@@ -73,7 +79,8 @@
   /// Number of open flows at the end of the last tick.
   size_t OpenFlows() const;
 
-  /// True when a table was published and no drain was started.
+  /// True when a table was published, delivery was not suspended since, and no
+  /// drain was started.
   bool Ready() const;
 
   /// Sums of the traffic counters.
--- a/packages/process/src/control_agent.cc
+++ b/packages/process/src/control_agent.cc
@@ -14,6 +14,7 @@
 #include "kumquatvalve/process/object_client.h"
 #include "kumquatvalve/process/peer_codec.h"
 #include "kumquatvalve/process/table_codec.h"
+#include "kumquatvalve/version/subtree.h"
 
 namespace kumquatvalve::process {
 namespace {
@@ -360,6 +361,7 @@
   }
 
   void SetAnnouncement(std::optional<UpstreamAnnouncement> announcement) {
+    const std::string previous_service = AnnouncedService();
     control::Member next = self_;
     if (announcement) {
       control::Announcement* wire = next.mutable_announcement();
@@ -376,6 +378,9 @@
       next.clear_announcement();
     }
     SetSelf(std::move(next));
+    if (AnnouncedService() != previous_service) {
+      PublishTableOfAnnouncedService();
+    }
   }
 
   void SetOpenFlows(uint64_t open_flows) { node_.SetOpenFlows(open_flows); }
@@ -444,6 +449,28 @@
     PerformActions(std::move(actions));
   }
 
+  // Store path of the announced service; empty without an announcement.
+  std::string AnnouncedService() const {
+    return self_.has_announcement()
+               ? version::ToString(version::ServicePath{
+                     request::TeamName(self_.announcement().team()),
+                     request::ServiceName(self_.announcement().service())})
+               : "";
+  }
+
+  // The table may have arrived before the announcement, or while the upstream
+  // announced another service.
+  void PublishTableOfAnnouncedService() {
+    const std::string service = AnnouncedService();
+    for (const auto& [path, table] : sidecar_tables_) {
+      if (table.path == service) {
+        listener_.OnTable(
+            std::make_shared<const version::ForwardingTable>(table.table),
+            table.addresses);
+      }
+    }
+  }
+
   void PublishLeaseChange(TimePoint now) {
     const bool valid = node_.lease().Valid(now);
     if (valid != lease_held_) {
@@ -597,6 +624,7 @@
         listener_.OnTableRemoved(it->second);
         services_.erase(it);
       }
+      sidecar_tables_.erase(object.path());
       return;
     }
     Failure failure;
@@ -612,6 +640,12 @@
     for (const version::UpstreamEntry& it : published->table.upstreams) {
       control_endpoints_from_tables_[it.instance] = it.control;
     }
+    if (self_.role() == control::ROLE_SIDECAR) {
+      sidecar_tables_.insert_or_assign(object.path(), *published);
+      if (published->path != AnnouncedService()) {
+        return;
+      }
+    }
     listener_.OnTable(std::make_shared<const version::ForwardingTable>(
                           std::move(published->table)),
                       published->addresses);
@@ -630,6 +664,9 @@
   std::unordered_map<request::InstanceId, request::Endpoint>
       control_endpoints_from_tables_;
   std::map<std::string, request::ServiceId> services_;
+  /// At a sidecar: the newest tables of the services that its upstreams
+  /// announced, by path of the table object.
+  std::map<std::string, PublishedTable> sidecar_tables_;
   TimePoint next_tick_{};
   bool lease_held_ = false;
   bool draining_ = false;
--- a/packages/process/src/sidecar_process.cc
+++ b/packages/process/src/sidecar_process.cc
@@ -33,6 +33,10 @@
       : settings_(settings), channel_(channel) {}
 
   void Deliver(std::span<const std::byte> packet) {
+    if (delivery_suspended_) {
+      Drop(request::ResultCode::kWrongService);
+      return;
+    }
     FlushIfFull(&to_upstream_, upstream_socket_);
     to_upstream_.AddCopy({}, packet, settings_.upstream->data);
     counters_.Count(PacketEvent::kDelivered);
@@ -72,6 +76,8 @@
   TrafficCounters counters_;
   std::shared_ptr<const version::ForwardingTable> table_;
   PeerTable peers_;
+  /// The upstream is of another service than the table.
+  bool delivery_suspended_ = false;
 
  private:
   std::optional<request::Endpoint> DataEndpoint(
@@ -192,6 +198,14 @@
     }
     output_.table_ = table;
     router_->OnTable(std::move(table), now);
+    output_.delivery_suspended_ = false;
+    router_->SetAdmitting(true, now);
+  }
+  void SuspendDelivery(connection::TimePoint now) {
+    output_.delivery_suspended_ = true;
+    if (router_) {
+      router_->SetAdmitting(false, now);
+    }
   }
   void SetPeers(PeerTable peers, connection::TimePoint now) {
     for (const auto& [instance, info] : peers) {
@@ -394,6 +408,12 @@
   });
 }
 
+void SidecarProcess::SuspendDelivery() {
+  has_table_ = false;
+  traffic_->Post(
+      [](Traffic& traffic, auto now) { traffic.SuspendDelivery(now); });
+}
+
 void SidecarProcess::PublishPeers(PeerTable peers) {
   if (peers == peers_) {
     return;
--- a/packages/process/test/control_agent_test.cc
+++ b/packages/process/test/control_agent_test.cc
@@ -1,5 +1,6 @@
 #include "kumquatvalve/process/control_agent.h"
 
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <functional>
@@ -30,6 +31,12 @@
     table_ = std::move(table);
     addresses_ = addresses;
   }
+  // Drops the current table, as a sidecar does when its upstream announces
+  // another service.
+  void ForgetTable() {
+    const std::lock_guard lock(mutex_);
+    table_ = nullptr;
+  }
   void OnTableRemoved(request::ServiceId) override {
     const std::lock_guard lock(mutex_);
     table_ = nullptr;
@@ -186,14 +193,16 @@
   return service;
 }
 
-void Announce(ControlAgent& agent) {
+void AnnounceService(ControlAgent& agent, const std::string& service) {
   UpstreamAnnouncement announcement;
   announcement.team = request::TeamName("tarima");
-  announcement.service = request::ServiceName("patio");
+  announcement.service = request::ServiceName(service);
   announcement.slots = 5;
   agent.SetAnnouncement(announcement);
 }
 
+void Announce(ControlAgent& agent) { AnnounceService(agent, "patio"); }
+
 // Covers the whole path announcement -> membership -> lease -> table -> relays.
 // Guards against processes dropping or reverting their tables because a peer is
 // unreachable or the store is down.
@@ -264,5 +273,45 @@
   CHECK_FALSE(sidecar1.listener().reverted());
 }
 
+// Guards against a sidecar that stays without a table after one announcement of
+// another writer: the relays do not send the table in force again.
+TEST_CASE(
+    "control_agent: a sidecar gets its table again when its upstream returns "
+    "to "
+    "the service",
+    "[threads]") {
+  standins::ObjectApiServer server;
+  const uint16_t port = server.Start("127.0.0.1", 0);
+  REQUIRE(port != 0);
+  using version::Role;
+  request::Failure failure;
+  ObjectClient operator_client(
+      MakeSettings(Role::kEntry, "operator", "", 9, port).object_api, 7);
+  REQUIRE(operator_client.Create(
+      version::ToString(MakePatioService().path),
+      version::WriteStoredService(MakePatioService()), &failure));
+  RunningAgent entry(MakeSettings(Role::kEntry, "entry-1", "gye-sur", 1, port),
+                     100);
+  RunningAgent sidecar(
+      MakeSettings(Role::kSidecar, "sidecar-1", "gye-sur", 3, port), 102,
+      Announce);
+  const auto sidecar_has_table = [&] {
+    return sidecar.listener().table() != nullptr;
+  };
+  REQUIRE(Eventually(sidecar_has_table));
+
+  server.Control({{"down", true}});
+  std::atomic<bool> announced = false;
+  sidecar.RunOnAgentThread([&](ControlAgent& agent) {
+    AnnounceService(agent, "evidencia");
+    sidecar.listener().ForgetTable();
+    announced = true;
+  });
+  REQUIRE(Eventually([&] { return announced.load(); }));
+  CHECK_FALSE(sidecar_has_table());
+  sidecar.RunOnAgentThread(Announce);
+  CHECK(Eventually(sidecar_has_table));
+}
+
 }  // namespace
 }  // namespace kumquatvalve::process
--- a/packages/process/test/sidecar_process_test.cc
+++ b/packages/process/test/sidecar_process_test.cc
@@ -83,8 +83,14 @@
     PeerTable peers;
     peers[kEntry] = {{1}, PeerState::kAlive, {}};
     process_->PublishPeers(peers);
+    process_->PublishTable(MakeTable(kService));
+  }
+
+  // A table whose only upstream is that of this sidecar.
+  std::shared_ptr<const version::ForwardingTable> MakeTable(
+      request::ServiceId service) const {
     auto table = std::make_shared<version::ForwardingTable>();
-    table->service = kService;
+    table->service = service;
     table->version = {1};
     version::UpstreamEntry entry;
     entry.instance = Self();
@@ -94,7 +100,7 @@
     table->upstreams = {entry};
     table->owner = {0};
     table->backup = {0};
-    process_->PublishTable(table);
+    return table;
   }
 
   request::InstanceId Self() const {
@@ -202,5 +208,41 @@
   CHECK(sidecar.process_->OpenFlows() == 0);
 }
 
+// Guards against packets of a service that reach the upstream which announced
+// another one at the same address (R2), also packets of known flows.
+TEST_CASE(
+    "sidecar_process: an upstream of another service gets no packet of the "
+    "earlier one's flows") {
+  SidecarFixture sidecar;
+  ReceiveBatch in;
+  sidecar.Send(sidecar.MakeHeader());
+  REQUIRE(WaitFor([&] { return in.Receive(sidecar.upstream_) == 1; }));
+  sidecar.process_->SuspendDelivery();
+  CHECK_FALSE(sidecar.process_->Ready());
+  sidecar.Send(sidecar.MakeHeader());
+  CHECK(sidecar.WaitForOneDrop(ResultCode::kWrongService));
+  CHECK(in.Receive(sidecar.upstream_) == 0);
+
+  constexpr request::ServiceId kNextService{8};
+  sidecar.process_->PublishTable(sidecar.MakeTable(kNextService));
+  CHECK(sidecar.process_->Ready());
+  ForwardHeader header = sidecar.MakeHeader();
+  header.service = kNextService;
+  sidecar.Send(header);
+  CHECK(WaitFor([&] { return in.Receive(sidecar.upstream_) == 1; }));
+}
+
+// Guards against an upstream that is lost for its service after one
+// announcement of another writer.
+TEST_CASE(
+    "sidecar_process: an upstream gets packets again with the next table") {
+  SidecarFixture sidecar;
+  sidecar.process_->SuspendDelivery();
+  sidecar.process_->PublishTable(sidecar.MakeTable(kService));
+  sidecar.Send(sidecar.MakeHeader());
+  ReceiveBatch in;
+  CHECK(WaitFor([&] { return in.Receive(sidecar.upstream_) == 1; }));
+}
+
 }  // namespace
 }  // namespace kumquatvalve::process
