Fleet sidecar: a withdrawn announcement takes effect at once

What callers saw: new flows were admitted at an upstream that had withdrawn its announcement and got no answer when it had ended. While the object API is down this went on without an end; otherwise until every entry instance had a table without the upstream.

Cause: a withdrawal went to the table writer only. The sidecar admits by its table, and it is not sent a table that no longer lists it.

Change: the daemon suspends admission when the announcement is withdrawn, until the next table, which the control agent hands on when the upstream announces the service again. New flows are passed on as in a drain; packets of open flows are still delivered.

--- a/apps/kumquatvalved/fleet.cc
+++ b/apps/kumquatvalved/fleet.cc
@@ -320,6 +320,11 @@
         sidecar_->SuspendDelivery();
       }
       announced_service_ = service;
+    } else {
+      log_.Log(LogLevel::kInfo, LogEvent::kUpstreamChanged,
+               "withdrew its announcement", {});
+      own_table_.reset();
+      sidecar_->SuspendAdmission();
     }
     agent_->SetAnnouncement(std::move(announcement));
   }
--- a/packages/process/include/kumquatvalve/process/sidecar_process.h
+++ b/packages/process/include/kumquatvalve/process/sidecar_process.h
@@ -46,12 +46,16 @@
   bool Start(request::Failure* failure);
 
   /// Replaces the forwarding table of the service that the upstream serves;
-  /// ends what `SuspendDelivery` started.
+  /// ends what `SuspendAdmission` or `SuspendDelivery` started.
   void PublishTable(std::shared_ptr<const version::ForwardingTable> table);
 
-  /// The upstream serves another service than that of the published table. It
-  /// gets no packets until the next table, and new flows of the table's service
-  /// are passed on to other upstreams.
+  /// The upstream withdrew from the service of the published table. It gets no
+  /// new flows until the next table: they are passed on to other upstreams.
+  /// Open flows continue.
+  void SuspendAdmission();
+
+  /// The upstream serves another service than that of the published table. As
+  /// `SuspendAdmission`, and the upstream gets no packets at all.
   void SuspendDelivery();
 
   /// Replaces the membership state of all instances. Packets of a sender that
@@ -79,8 +83,8 @@
   /// Number of open flows at the end of the last tick.
   size_t OpenFlows() const;
 
-  /// True when a table was published, delivery was not suspended since, and no
-  /// drain was started.
+  /// True when a table was published, nothing was suspended since, and no drain
+  /// was started.
   bool Ready() const;
 
   /// Sums of the traffic counters.
--- a/packages/process/src/sidecar_process.cc
+++ b/packages/process/src/sidecar_process.cc
@@ -201,12 +201,15 @@
     output_.delivery_suspended_ = false;
     router_->SetAdmitting(true, now);
   }
-  void SuspendDelivery(connection::TimePoint now) {
-    output_.delivery_suspended_ = true;
+  void SuspendAdmission(connection::TimePoint now) {
     if (router_) {
       router_->SetAdmitting(false, now);
     }
   }
+  void SuspendDelivery(connection::TimePoint now) {
+    output_.delivery_suspended_ = true;
+    SuspendAdmission(now);
+  }
   void SetPeers(PeerTable peers, connection::TimePoint now) {
     for (const auto& [instance, info] : peers) {
       const auto known_peer = output_.peers_.find(instance);
@@ -408,6 +411,12 @@
   });
 }
 
+void SidecarProcess::SuspendAdmission() {
+  has_table_ = false;
+  traffic_->Post(
+      [](Traffic& traffic, auto now) { traffic.SuspendAdmission(now); });
+}
+
 void SidecarProcess::SuspendDelivery() {
   has_table_ = false;
   traffic_->Post(
--- a/packages/process/test/sidecar_process_test.cc
+++ b/packages/process/test/sidecar_process_test.cc
@@ -29,12 +29,14 @@
   return {request::MapIpv4(loopback.data()), port};
 }
 
-// An IPv4 TCP SYN from 10.0.0.1:1000 to 10.0.0.2:80.
-std::vector<std::byte> SampleSyn() {
+// An IPv4 TCP SYN from 10.0.0.1 to 10.0.0.2:80.
+std::vector<std::byte> SampleSyn(uint16_t caller_port = 1000) {
+  const auto port_high = static_cast<uint8_t>(caller_port >> 8);
+  const auto port_low = static_cast<uint8_t>(caller_port & 0xff);
   const std::array<uint8_t, 40> raw = {
-      0x45, 0, 0,  40, 0,    0,    0x40, 0,    64, 6,  0, 0, 10, 0,
-      0,    1, 10, 0,  0,    2,    3,    0xe8, 0,  80, 0, 0, 0,  5,
-      0,    0, 0,  6,  0x50, 0x02, 0,    0,    0,  0,  0, 0};
+      0x45, 0, 0,  40, 0,    0,    0x40,      0,        64, 6,  0, 0, 10, 0,
+      0,    1, 10, 0,  0,    2,    port_high, port_low, 0,  80, 0, 0, 0,  5,
+      0,    0, 0,  6,  0x50, 0x02, 0,         0,        0,  0,  0, 0};
   std::vector<std::byte> bytes;
   bytes.reserve(raw.size());
   for (const uint8_t it : raw) {
@@ -118,11 +120,12 @@
     return header;
   }
 
-  void Send(const ForwardHeader& header, const request::HashKey& key = {}) {
+  void Send(const ForwardHeader& header, const request::HashKey& key = {},
+            const std::vector<std::byte>& packet = SampleSyn()) {
     std::array<std::byte, request::kForwardHeaderSize> header_bytes;
     WriteForwardHeader(header, key, header_bytes);
     SendBatch batch;
-    batch.AddCopy(header_bytes, SampleSyn(), settings_.data);
+    batch.AddCopy(header_bytes, packet, settings_.data);
     REQUIRE(batch.Flush(sender_) == 0);
   }
 
@@ -232,6 +235,24 @@
   CHECK(WaitFor([&] { return in.Receive(sidecar.upstream_) == 1; }));
 }
 
+// Guards against an upstream that gets new flows after it withdrew its
+// announcement, and against one whose open flows end then (R1, R6).
+TEST_CASE(
+    "sidecar_process: an upstream that withdrew gets packets of its flows "
+    "only") {
+  SidecarFixture sidecar;
+  ReceiveBatch in;
+  sidecar.Send(sidecar.MakeHeader());
+  REQUIRE(WaitFor([&] { return in.Receive(sidecar.upstream_) == 1; }));
+  sidecar.process_->SuspendAdmission();
+  CHECK_FALSE(sidecar.process_->Ready());
+  sidecar.Send(sidecar.MakeHeader());
+  CHECK(WaitFor([&] { return in.Receive(sidecar.upstream_) == 1; }));
+  sidecar.Send(sidecar.MakeHeader(), {}, SampleSyn(1001));
+  CHECK(sidecar.WaitForOneDrop(ResultCode::kDraining));
+  CHECK(in.Receive(sidecar.upstream_) == 0);
+}
+
 // Guards against an upstream that is lost for its service after one
 // announcement of another writer.
 TEST_CASE(
--- a/standins/test/announcement_test.py
+++ b/standins/test/announcement_test.py
@@ -6,12 +6,15 @@
 
 other_service: guards against packets of a service that reach an upstream which
 has announced another one at the same address.
+withdrawal: guards against new flows at an upstream that withdrew its
+announcement, as it does before it ends.
 """
 
 import json
 import sys
 import tempfile
 import time
+import urllib.request
 
 from control_test import StoreFleet
 from fleet import local, wait_for
@@ -65,7 +68,28 @@
     return wrong == 0
 
 
-CASES = {it.__name__: it for it in (other_service,)}
+def withdrawal(fleet):
+    start_without_store(fleet)
+    left = fleet.services[0]["members"][0]
+    end_upstream(fleet, left)
+    withdraw = urllib.request.Request(f"http://{local(fleet.ports[left]['announce'])}/announcement", method="DELETE")
+    with urllib.request.urlopen(withdraw, timeout=2):
+        pass
+    time.sleep(1)
+    before = fleet.status(left)["flows"]["admitted"]
+    caller = fleet.start_caller(flows=FLOWS, rate=300, interval_ms=500)
+    wait_for("the caller", lambda: fleet.counts(caller))
+    wait_for("the flows", lambda: fleet.counts(caller)["flows"] == FLOWS)
+    time.sleep(1)
+    admitted = fleet.status(left)["flows"]["admitted"] - before
+    print(f"new flows at {left}: {admitted}")
+    print(json.dumps(fleet.counts(caller)))
+    if admitted == 0:
+        wait_for("all flows to be answered", lambda: fleet.counts(caller)["answered_flows"] == FLOWS)
+    return admitted == 0
+
+
+CASES = {it.__name__: it for it in (other_service, withdrawal)}
 
 
 def main():
