Query a sidecar again when its record names another service

What callers saw: an open flow was reset although its upstream held it. An upstream's address had passed to the flow's service; the routers moved the flow to an entry instance that had not read the new record.

Cause: the instance queries the sidecar as one of the service in the outdated record. A sidecar replies to such a query that it does not hold the flow without looking for it. The new record, which the instance reads before it takes the flow for lost, did not take that reply back: a sidecar counts as queried for as long as the search lasts. Lists of flows had the same fault.

Change: UpstreamSet::Replace returns the sidecars that were not known as ones of their service before, and the locator drops their replies, so they are queried under the new record.

--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -93,7 +93,9 @@
   ///   accepted by this time.
   void OnUpstreamRecords(std::span<const version::UpstreamRecord> records,
                          TimePoint complete_at, TimePoint now) {
-    upstreams_.Replace(records, now);
+    for (const request::Endpoint& it : upstreams_.Replace(records, now)) {
+      locator_.OnServiceChanged(it);
+    }
     UpdateHelloSchedule();
     upstreams_received_ = true;
     SendHellos(now);
--- a/packages/connection/include/kumquatvalve/connection/flow_listing.h
+++ b/packages/connection/include/kumquatvalve/connection/flow_listing.h
@@ -44,6 +44,9 @@
                    const request::FlowList& list,
                    std::span<const uint32_t> fingerprints);
 
+  /// Drops the reply of the sidecar to the last round.
+  void Forget(const request::Endpoint& sidecar) { replies_.erase(sidecar); }
+
   bool running() const { return running_; }
   uint32_t round() const { return round_; }
   TimePoint started_at() const { return started_at_; }
--- a/packages/connection/include/kumquatvalve/connection/flow_locator.h
+++ b/packages/connection/include/kumquatvalve/connection/flow_locator.h
@@ -161,6 +161,16 @@
     }
   }
 
+  /// The sidecar was not known as one of its service before. Its replies so far
+  /// say nothing: a sidecar that is queried as one of another service replies
+  /// that it does not hold the flow. To be called before `OnRecords`.
+  void OnServiceChanged(const request::Endpoint& sidecar) {
+    listing_.Forget(sidecar);
+    for (auto& [key, search] : searches_) {
+      search.Forget(sidecar);
+    }
+  }
+
   /// The upstream records changed or were read again.
   /// @param complete_at the records include every change that the store had
   ///   accepted by this time.
--- a/packages/connection/include/kumquatvalve/connection/flow_search.h
+++ b/packages/connection/include/kumquatvalve/connection/flow_search.h
@@ -64,6 +64,9 @@
   void Widen() { widened_ = true; }
   bool widened() const { return widened_; }
 
+  /// Drops the query to the sidecar and its reply, as if it was not queried.
+  void Forget(const request::Endpoint& sidecar) { queries_.erase(sidecar); }
+
   /// The sidecar replied that its upstream does not hold the flow.
   void OnNotHeld(const request::Endpoint& sidecar);
   /// The sidecar replied that it cannot know whether its upstream holds the
--- a/packages/connection/include/kumquatvalve/connection/upstream_set.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_set.h
@@ -24,7 +24,9 @@
   /// unchanged. An upstream whose record is missing is kept while its sidecar
   /// is alive and reports no drain: the store may have lost the record, and
   /// open flows of the upstream still have to be found.
-  void Replace(std::span<const version::UpstreamRecord> records, TimePoint now);
+  /// @return the sidecars that were not known as ones of their service before.
+  std::vector<request::Endpoint> Replace(
+      std::span<const version::UpstreamRecord> records, TimePoint now);
 
   /// Removes upstreams without a record whose sidecars are presumed dead or
   /// report a drain.
--- a/packages/connection/src/upstream_set.cc
+++ b/packages/connection/src/upstream_set.cc
@@ -16,15 +16,19 @@
 UpstreamSet::UpstreamSet(request::AvailabilityZone zone)
     : zone_(std::move(zone)) {}
 
-void UpstreamSet::Replace(std::span<const version::UpstreamRecord> records,
-                          TimePoint now) {
+std::vector<request::Endpoint> UpstreamSet::Replace(
+    std::span<const version::UpstreamRecord> records, TimePoint now) {
   std::map<request::Endpoint, UpstreamView> updated;
+  std::vector<request::Endpoint> of_new_service;
   for (const version::UpstreamRecord& it : records) {
     const UpstreamView* previous = Find(it.sidecar);
     UpstreamView view = previous != nullptr && previous->IsSameIncarnation(it)
                             ? *previous
                             : UpstreamView(it, now);
     view.OnRecord(it, it.zone == zone_);
+    if (previous == nullptr || previous->tag() != view.tag()) {
+      of_new_service.push_back(it.sidecar);
+    }
     updated.emplace(it.sidecar, std::move(view));
   }
   for (auto& [sidecar, view] : views_) {
@@ -34,6 +38,7 @@
     }
   }
   views_ = std::move(updated);
+  return of_new_service;
 }
 
 void UpstreamSet::ExpireUnlisted(TimePoint now) {
--- a/packages/connection/test/entry_router_test.cc
+++ b/packages/connection/test/entry_router_test.cc
@@ -769,6 +769,85 @@
   CHECK(f.LastPacket().message.service == request::ServiceTagOf("evidencia"));
 }
 
+// An upstream's address passed to another service, and this instance has not
+// read its new record when it searches for a flow there: the sidecar replies to
+// a query for the earlier service that it does not hold the flow.
+struct OutdatedRecord : Fixture {
+  OutdatedRecord()
+      : Fixture(Routes(1),
+                {Record(1, "a"), Record(2, "a"), Record(3, "a", "evidencia")}) {
+    now += milliseconds(1);
+  }
+  void ReadNewRecord() {
+    records[2] = Record(3, "a");
+    records[2].incarnation_ms = 2000;
+    router.OnUpstreamRecords(records, now, now);
+  }
+};
+
+// Guards against a reset of a flow that its upstream holds.
+TEST_CASE(
+    "entry_router: a sidecar that was queried as one of another service is "
+    "queried again under its new record") {
+  OutdatedRecord f;
+  f.ReceiveData(1);
+  f.ReceiveMessage(1, HopKind::kNotHeld, 1);
+  f.ReceiveMessage(2, HopKind::kNotHeld, 1);
+  REQUIRE(f.WasSent(HopKind::kLocate, 3));
+  f.ReceiveMessage(3, HopKind::kNotHeld, 1);
+  f.ReadNewRecord();
+  CHECK(f.sink.resets.empty());
+  CHECK(f.sink.SentOfKind(HopKind::kLocate).back().message.service ==
+        request::ServiceTagOf("patio"));
+  f.ReceiveMessage(3, HopKind::kHeld, 1);
+  REQUIRE(f.WasSent(HopKind::kPacket, 3));
+  CHECK(f.LastPacket().message.service == request::ServiceTagOf("patio"));
+}
+
+// As above, when the earlier record was removed first.
+TEST_CASE(
+    "entry_router: a sidecar is queried again when its new record follows a "
+    "removed one") {
+  OutdatedRecord f;
+  f.ReceiveData(1);
+  f.ReceiveMessage(1, HopKind::kNotHeld, 1);
+  f.ReceiveMessage(3, HopKind::kReturned, 0, ReturnReason::kDraining,
+                   *f.bytes.back());
+  f.ReceiveMessage(2, HopKind::kNotHeld, 1);
+  REQUIRE(f.WasSent(HopKind::kLocate, 3));
+  f.ReceiveMessage(3, HopKind::kNotHeld, 1);
+  f.router.OnUpstreamRecords(std::vector{f.records[0], f.records[1]},
+                             f.now - milliseconds(1), f.now);
+  REQUIRE(f.router.upstreams().views().size() == 2);
+  f.ReadNewRecord();
+  CHECK(f.sink.resets.empty());
+  CHECK(f.sink.SentOfKind(HopKind::kLocate).back().message.service ==
+        request::ServiceTagOf("patio"));
+}
+
+// As above, with so many searches that lists of flows are used.
+TEST_CASE(
+    "entry_router: the list of a sidecar that was queried as one of another "
+    "service does not count under its new record") {
+  OutdatedRecord f;
+  for (uint16_t port = 1; port <= 100; ++port) {
+    f.ReceiveData(port);
+  }
+  f.now += milliseconds(100);
+  f.router.OnTick(f.now);
+  ReplyToList(&f, 1, {});
+  ReplyToList(&f, 2, {});
+  ReplyToList(&f, 3, {});
+  f.ReadNewRecord();
+  CHECK(f.sink.resets.empty());
+  f.now += milliseconds(100);
+  f.router.OnTick(f.now);
+  ReplyToList(&f, 1, {});
+  ReplyToList(&f, 2, {});
+  ReplyToList(&f, 3, {50});
+  CHECK(f.sink.resets.size() == 99);
+}
+
 TEST_CASE(
     "entry_router: many flows of a route's earlier service are found by lists "
     "of flows") {
