Notify a sidecar whose record names another service

What callers would see: an upstream that gets no new flows for as long as its identity does not change. Another writer has replaced its record by a readable one of another service. A record that cannot be read, and a missing one, are repaired within seconds.

Cause: an entry instance knows from the sidecar's load reports that the record is not the sidecar's, and avoids it, but greets it as a listed one. The sidecar believes that the store has its record and reads it only when it is told that the record is missing.

Change: after 12 s of load reports of another service the entry instance sends the notice about a missing record in place of the hello. The sidecar then reads its record, at most every 2 s, and writes it again. A record that is outdated because an address has just passed to another service is replaced before that, so the calls to the store do not change then. The messages keep their form.

Evidence: the new test in entry_router_test fails on the code before. No run of processes has shown the fault.

--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -649,8 +649,8 @@
       if (view.IsHelloDue(
               now, hello_schedule_.Interval(view.same_zone(), unanswered))) {
         request::HopMessage message;
-        message.kind = view.listed() ? request::HopKind::kHello
-                                     : request::HopKind::kUnlisted;
+        message.kind = view.LacksRecord(now) ? request::HopKind::kUnlisted
+                                             : request::HopKind::kHello;
         message.service = view.tag();
         view.OnHelloSent(now);
         sink_->Send(sidecar, message, {});
--- a/packages/connection/include/kumquatvalve/connection/upstream_view.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_view.h
@@ -49,6 +49,10 @@
   bool AcceptsNewFlows(TimePoint now, bool last_resort) const;
 
   bool listed() const { return !unlisted_since_; }
+  /// Whether the store lacks the sidecar's record, so that the sidecar has to
+  /// be notified: there is none, or the sidecar has been of another service
+  /// than it says for longer than a new record takes to arrive.
+  bool LacksRecord(TimePoint now) const;
   /// Whether the upstream is in the entry instance's zone.
   bool same_zone() const { return same_zone_; }
 
@@ -96,6 +100,8 @@
   /// Send time of the first message that the sidecar has not reacted to.
   std::optional<TimePoint> unanswered_since_;
   std::optional<TimePoint> unlisted_since_;
+  /// The sidecar has sent load reports of another service since then.
+  std::optional<TimePoint> of_other_service_since_;
   /// No new flows are placed here before this time, except as a last resort.
   TimePoint avoid_until_;
 };
--- a/packages/connection/src/upstream_view.cc
+++ b/packages/connection/src/upstream_view.cc
@@ -28,6 +28,9 @@
 // seconds; otherwise the upstream is assumed to have left.
 constexpr milliseconds kRelistTimeout{2000};
 
+// Longer than a watch of the records takes to return a new one.
+constexpr milliseconds kRecordArrivalTimeout{12000};
+
 // An upstream that rejected a flow is retried after about the time of one
 // request.
 constexpr milliseconds kRejectedBackoff{30};
@@ -66,6 +69,11 @@
   }
 }
 
+bool UpstreamView::LacksRecord(TimePoint now) const {
+  return !listed() || (of_other_service_since_ &&
+                       now - *of_other_service_since_ > kRecordArrivalTimeout);
+}
+
 bool UpstreamView::ShouldKeepWithoutRecord(TimePoint now) const {
   return last_received_at_ && !IsPresumedDead(now) && !record_.draining &&
          !load_.draining;
@@ -75,8 +83,10 @@
                                 TimePoint now) {
   if (message.service != tag_) {
     avoid_until_ = now + kRecordUpdateBackoff;
+    of_other_service_since_ = of_other_service_since_.value_or(now);
     return;
   }
+  of_other_service_since_.reset();
   load_ = message.load;
   placed_since_report_ = 0;
   last_report_at_ = now;
@@ -156,11 +166,12 @@
                               std::chrono::milliseconds interval) const {
   // A sidecar without a record is notified every second, even while it sends
   // messages.
+  const bool notify = LacksRecord(now);
   const TimePoint received =
-      listed() ? last_received_at_.value_or(TimePoint()) : TimePoint();
+      notify ? TimePoint() : last_received_at_.value_or(TimePoint());
   const TimePoint last = std::max(hello_sent_at_, received);
   return hello_sent_at_ == TimePoint() ||
-         now - last >= (listed() ? interval : HelloSchedule::kMinInterval);
+         now - last >= (notify ? HelloSchedule::kMinInterval : interval);
 }
 
 PlacementCandidate UpstreamView::Candidate() const {
--- a/packages/connection/test/entry_router_test.cc
+++ b/packages/connection/test/entry_router_test.cc
@@ -721,6 +721,27 @@
   CHECK(f.sink.resets.empty());
 }
 
+// Guards against an upstream without new flows for good: another writer
+// replaced its record by one of another service, and its sidecar believes that
+// the store has its own.
+TEST_CASE(
+    "entry_router: a sidecar whose record names another service is notified") {
+  Fixture f(Routes(1), {Record(1, "a"), Record(2, "a", "evidencia")});
+  f.records[0].service = request::ServiceName("evidencia");
+  f.router.OnUpstreamRecords(f.records, f.now, f.now);
+  f.records[0].service = request::ServiceName("patio");
+  f.AdvanceTime(milliseconds(5000));
+  CHECK_FALSE(f.WasSent(HopKind::kUnlisted, 1));
+  f.AdvanceTime(milliseconds(10000));
+  CHECK(f.WasSent(HopKind::kUnlisted, 1));
+  CHECK_FALSE(f.WasSent(HopKind::kUnlisted, 2));
+
+  f.router.OnUpstreamRecords(f.records, f.now, f.now);
+  f.sink.sent.clear();
+  f.AdvanceTime(milliseconds(15000));
+  CHECK(f.sink.SentOfKind(HopKind::kUnlisted).empty());
+}
+
 // An instance that is cut off from the network presumes all upstreams dead.
 TEST_CASE(
     "entry_router: a flow is not reset when most sidecars are unresponsive") {
