Sidecar: grant the address lease only with a second sign of the upstream

One late heartbeat of an upstream that had ended granted the lease, until the next heartbeat of the upstream of another service that had its address. Callers' requests ran there.

Cause: heartbeats carry no time, so nothing tells a late one. The lease counted each one as proof by itself.

Change: a lease that is not held needs another sign beside a heartbeat: a second one of the same start, 0.3 s later and with none of another service in between, or a packet of a flow, which the next upstream cannot send, since it holds none. One of the first two heartbeats of a start that was not known is enough. After a heartbeat of another service only packets of flows that this process admitted count. A busy upstream so gets the lease back by its first heartbeat, an idle one by its second.

--- a/packages/connection/include/kumquatvalve/connection/address_lease.h
+++ b/packages/connection/include/kumquatvalve/connection/address_lease.h
@@ -12,8 +12,8 @@
 
 namespace kumquatvalve::connection {
 
-/// A heartbeat that names another service than the sidecar's.
-struct OtherServiceHeartbeat {
+/// Identifies a heartbeat that arrived at a sidecar.
+struct HeartbeatId {
   std::string service;
   StartId start;
   /// Increases with each heartbeat of one start.
@@ -30,14 +30,24 @@
   kLapsed,
   /// An upstream of the sidecar's service is behind the address.
   kHeld,
-  /// A heartbeat of another service arrived, and none since shows that it was a
-  /// late one or of another writer.
+  /// A heartbeat of another service arrived, and nothing since shows that it
+  /// was a late one or of another writer.
   kContested,
 };
 
 /// "lapsed", "held" or "contested".
 std::string_view Name(LeaseState state);
 
+/// What a packet that arrives from the address shows about its sender.
+enum class PacketEvidence : uint8_t {
+  /// It runs: any upstream answers first packets and rejects others.
+  kRunning,
+  /// It holds a flow.
+  kHoldsFlow,
+  /// It holds a flow that this sidecar process admitted.
+  kHoldsAdmittedFlow,
+};
+
 /// Time from the last evidence to the end of the lease: shorter than the time
 /// from the end of an upstream to the next use of its address.
 /// @param reuse_delay that time, at least.
@@ -48,18 +58,24 @@
 /// service while callers go on; the sidecar of the earlier service outlives its
 /// upstream, or is paused meanwhile, and is still offered flows.
 ///
-/// A heartbeat of the upstream grants the lease, and each packet that arrives
-/// from the address renews it: as long as nothing is silent for the time after
-/// which the address may be used again, the same upstream is behind it.
-/// Evidence counts from the time at which the upstream is known to have run,
-/// not from when the evidence is read.
+/// Each heartbeat and each packet that arrives from the address renews a lease
+/// that is held: as long as the address is not silent for the time after which
+/// it may be used again, the same upstream is behind it. Evidence counts from
+/// the time at which the upstream is known to have run, not from when the
+/// evidence is read.
+///
+/// A lease that has lapsed is granted by a heartbeat of the upstream. It may be
+/// a late one of an upstream that has ended, so it needs one more sign: it is
+/// one of the first of a start, or another one of the same start arrives, or a
+/// packet of a flow does. The next upstream at the address holds no flows,
+/// since this sidecar delivers none to it.
 ///
 /// A heartbeat of another service withdraws the lease. It may be a late one or
-/// of another writer, so the next heartbeat of the upstream restores the lease.
-/// That one may be late too: once the same start of the other service has sent
-/// another heartbeat, `kMessagesToDismiss` of the upstream are needed, and with
-/// these, heartbeats of that start have no effect while the lease is held. Not
-/// thread-safe.
+/// of another writer, so the lease is granted again by signs that came later:
+/// two heartbeats of the upstream, or one and a packet of a flow that was
+/// admitted here. Once `kMessagesToDismiss` heartbeats of the upstream have
+/// arrived since, those of the other start have no effect while the lease is
+/// held. Not thread-safe.
 class AddressLease {
  public:
   explicit AddressLease(std::chrono::milliseconds duration)
@@ -67,13 +83,15 @@
 
   /// A heartbeat of the upstream was accepted.
   /// @param sent_after it was sent at this time or later.
-  void OnHeartbeat(TimePoint sent_after, TimePoint now);
+  void OnHeartbeat(const HeartbeatId& heartbeat, TimePoint sent_after,
+                   TimePoint now);
 
-  void OnOtherService(const OtherServiceHeartbeat& heartbeat, TimePoint now);
+  /// A heartbeat of another service arrived.
+  void OnOtherService(const HeartbeatId& heartbeat, TimePoint now);
 
   /// A packet arrived from the address, or was returned from there.
   /// @param sent_after as for `OnHeartbeat`.
-  void OnPacket(TimePoint sent_after, TimePoint now);
+  void OnPacket(PacketEvidence evidence, TimePoint sent_after, TimePoint now);
 
   /// The machine was suspended for `time`, during which `TimePoint` did not
   /// advance.
@@ -90,7 +108,6 @@
     std::string service;
     StartId start;
     uint64_t sequence = 0;
-    int messages = 1;
     TimePoint last_message_at;
     /// Heartbeats of the upstream since the first message.
     int upstream_messages = 0;
@@ -98,14 +115,34 @@
     bool dismissed = false;
   };
 
-  // Counts a heartbeat of the upstream against the contender.
-  // @return whether it shows that the upstream is behind the address.
-  bool CountAgainstContender(TimePoint sent_after);
+  /// A heartbeat of the upstream that needs another sign.
+  struct Unconfirmed {
+    StartId start;
+    TimePoint sent_after;
+  };
+
+  void CountAgainstContender(TimePoint sent_after);
+
+  // Whether an event that may have happened at `sent_after` already comes after
+  // what withdrew the lease.
+  bool IsLaterThanContender(TimePoint sent_after) const;
+
+  // Whether there is one more sign beside this heartbeat.
+  bool IsConfirmed(const HeartbeatId& heartbeat, TimePoint sent_after) const;
+
+  void Grant(const StartId& start, TimePoint proven_at);
 
   std::chrono::milliseconds duration_;
   /// The upstream was behind the address at this time; empty before the first
   /// heartbeat.
   std::optional<TimePoint> proven_at_;
+  /// The start that the lease was last granted to.
+  std::optional<StartId> proven_start_;
+  std::optional<Unconfirmed> unconfirmed_;
+  /// When the last packets with `kHoldsFlow` and `kHoldsAdmittedFlow` were
+  /// sent, at the earliest; the first includes the second.
+  std::optional<TimePoint> flow_packet_at_;
+  std::optional<TimePoint> admitted_flow_packet_at_;
   std::optional<Contender> contender_;
   bool contested_ = false;
 };
--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -86,9 +86,10 @@
   /// A heartbeat of the upstream was accepted; `OnIdentity` is called before
   /// when it changed the identity.
   /// @param sent_after the heartbeat was sent at this time or later.
-  void OnHeartbeat(TimePoint sent_after, TimePoint now) {
+  void OnHeartbeat(const HeartbeatId& heartbeat, TimePoint sent_after,
+                   TimePoint now) {
     heartbeat_at_ = now;
-    lease_.OnHeartbeat(sent_after, now);
+    lease_.OnHeartbeat(heartbeat, sent_after, now);
     responsiveness_.OnHeartbeat();
     CheckLease(now);
     AdmitWaiting(now);
@@ -96,8 +97,7 @@
 
   /// A heartbeat arrived that names another service: first packets go to the
   /// upstream only after it has shown that it is still there.
-  void OnOtherServiceHeartbeat(const OtherServiceHeartbeat& heartbeat,
-                               TimePoint now) {
+  void OnOtherServiceHeartbeat(const HeartbeatId& heartbeat, TimePoint now) {
     other_service_at_ = now;
     lease_.OnOtherService(heartbeat, now);
     CheckLease(now);
@@ -174,10 +174,14 @@
   /// A packet that the upstream sent, to be passed to the caller. A flow that
   /// is not in the table is added, since the upstream holds it.
   void OnUpstreamPacket(const request::ParsedPacket& packet, TimePoint now) {
-    lease_.OnPacket(packets_sent_after_.value_or(now), now);
     const request::FlowKey key = request::Reverse(packet.flow);
     NoteResponse(key, now);
     auto it = flows_.find(key);
+    const bool admitted = it != flows_.end() && it->second.admitted;
+    lease_.OnPacket(packet.syn || packet.rst ? PacketEvidence::kRunning
+                    : admitted ? PacketEvidence::kHoldsAdmittedFlow
+                               : PacketEvidence::kHoldsFlow,
+                    packets_sent_after_.value_or(now), now);
     if (it == flows_.end()) {
       it = flows_.emplace(key, Flow()).first;
       // A SYN-ACK does not complete the handshake.
@@ -217,7 +221,8 @@
   /// to its entry instance; any other shows that the upstream does not hold the
   /// flow, which is reset when it was open here.
   void OnRejectedPacket(const request::ParsedPacket& packet, TimePoint now) {
-    lease_.OnPacket(packets_sent_after_.value_or(now), now);
+    lease_.OnPacket(PacketEvidence::kRunning, packets_sent_after_.value_or(now),
+                    now);
     NoteResponse(packet.flow, now);
     const auto it = flows_.find(packet.flow);
     if (it == flows_.end()) {
--- a/packages/connection/src/address_lease.cc
+++ b/packages/connection/src/address_lease.cc
@@ -41,66 +41,112 @@
                                                      : LeaseState::kLapsed;
 }
 
-void AddressLease::OnHeartbeat(TimePoint sent_after, TimePoint now) {
-  if (contender_ && !CountAgainstContender(sent_after)) {
+void AddressLease::OnHeartbeat(const HeartbeatId& heartbeat,
+                               TimePoint sent_after, TimePoint now) {
+  CountAgainstContender(sent_after);
+  if (now - sent_after >= duration_) {
     return;
   }
-  if (now - sent_after < duration_) {
-    contested_ = false;
-    proven_at_ = std::max(proven_at_.value_or(sent_after), sent_after);
+  const bool is_held = State(now) == LeaseState::kHeld;
+  if (is_held || IsConfirmed(heartbeat, sent_after)) {
+    Grant(heartbeat.start, sent_after);
+  } else if (IsLaterThanContender(sent_after) &&
+             !(unconfirmed_ && unconfirmed_->start == heartbeat.start)) {
+    unconfirmed_ = {heartbeat.start, sent_after};
   }
 }
 
-bool AddressLease::CountAgainstContender(TimePoint sent_after) {
-  Contender& it = *contender_;
-  if (!it.last_upstream_message_at ||
-      sent_after - *it.last_upstream_message_at >= kMinMessageSpacing) {
-    it.last_upstream_message_at = sent_after;
-    ++it.upstream_messages;
-    it.dismissed = it.upstream_messages >= kMessagesToDismiss;
+bool AddressLease::IsConfirmed(const HeartbeatId& heartbeat,
+                               TimePoint sent_after) const {
+  if (contested_ && contender_->dismissed) {
+    return true;
+  }
+  if (!IsLaterThanContender(sent_after)) {
+    return false;
+  }
+  const bool is_first_of_start =
+      !contested_ && heartbeat.sequence <= LatestStart::kMaxMissedMessages &&
+      proven_start_ != heartbeat.start;
+  const bool is_second =
+      unconfirmed_ && unconfirmed_->start == heartbeat.start &&
+      sent_after - unconfirmed_->sent_after >= kMinMessageSpacing;
+  const auto& packet_at =
+      contested_ ? admitted_flow_packet_at_ : flow_packet_at_;
+  const bool holds_flows = packet_at && sent_after - *packet_at < duration_ &&
+                           IsLaterThanContender(*packet_at);
+  return is_first_of_start || is_second || holds_flows;
+}
+
+bool AddressLease::IsLaterThanContender(TimePoint sent_after) const {
+  return !contested_ ||
+         sent_after - contender_->last_message_at >= kMinMessageSpacing;
+}
+
+void AddressLease::Grant(const StartId& start, TimePoint proven_at) {
+  contested_ = false;
+  unconfirmed_.reset();
+  proven_start_ = start;
+  proven_at_ = std::max(proven_at_.value_or(proven_at), proven_at);
+}
+
+void AddressLease::CountAgainstContender(TimePoint sent_after) {
+  if (!contender_ || contender_->dismissed) {
+    return;
+  }
+  auto& last = contender_->last_upstream_message_at;
+  if (!last || sent_after - *last >= kMinMessageSpacing) {
+    last = sent_after;
+    ++contender_->upstream_messages;
+    contender_->dismissed = contender_->upstream_messages >= kMessagesToDismiss;
   }
-  const bool is_later = sent_after - it.last_message_at >= kMinMessageSpacing;
-  return !contested_ || it.dismissed || (it.messages == 1 && is_later);
 }
 
-void AddressLease::OnOtherService(const OtherServiceHeartbeat& heartbeat,
-                                  TimePoint now) {
+void AddressLease::OnOtherService(const HeartbeatId& heartbeat, TimePoint now) {
   const bool same = contender_ && contender_->start == heartbeat.start &&
                     contender_->service == heartbeat.service;
-  if (!same) {
-    contender_ = Contender{.service = heartbeat.service,
-                           .start = heartbeat.start,
-                           .sequence = heartbeat.sequence,
-                           .last_message_at = now};
-    contested_ = true;
+  if (same && heartbeat.sequence <= contender_->sequence) {
     return;
   }
-  if (heartbeat.sequence <= contender_->sequence) {
-    return;
+  if (!same || (contender_->dismissed && State(now) != LeaseState::kHeld)) {
+    contender_ =
+        Contender{.service = heartbeat.service, .start = heartbeat.start};
   }
   contender_->sequence = heartbeat.sequence;
-  if (contender_->dismissed && State(now) == LeaseState::kHeld) {
-    return;
-  }
   if (contender_->dismissed) {
-    contender_->dismissed = false;
-    contender_->upstream_messages = 0;
+    return;
   }
-  ++contender_->messages;
   contender_->last_message_at = now;
   contested_ = true;
+  unconfirmed_.reset();
 }
 
-void AddressLease::OnPacket(TimePoint sent_after, TimePoint now) {
+void AddressLease::OnPacket(PacketEvidence evidence, TimePoint sent_after,
+                            TimePoint now) {
+  if (evidence != PacketEvidence::kRunning) {
+    flow_packet_at_ = sent_after;
+  }
+  if (evidence == PacketEvidence::kHoldsAdmittedFlow) {
+    admitted_flow_packet_at_ = sent_after;
+  }
+  const bool confirms = contested_
+                            ? evidence == PacketEvidence::kHoldsAdmittedFlow
+                            : evidence != PacketEvidence::kRunning;
   if (State(now) == LeaseState::kHeld) {
     proven_at_ = std::max(*proven_at_, sent_after);
+  } else if (confirms && unconfirmed_ && now - sent_after < duration_ &&
+             sent_after - unconfirmed_->sent_after < duration_ &&
+             IsLaterThanContender(sent_after)) {
+    Grant(unconfirmed_->start, sent_after);
   }
 }
 
 void AddressLease::OnSuspension(milliseconds time) {
-  if (proven_at_) {
-    *proven_at_ -= time;
+  for (auto* it : {&proven_at_, &flow_packet_at_, &admitted_flow_packet_at_}) {
+    if (*it) {
+      **it -= time;
+    }
   }
+  unconfirmed_.reset();
 }
 
 }  // namespace kumquatvalve::connection
--- a/packages/process/include/kumquatvalve/process/sidecar_node.h
+++ b/packages/process/include/kumquatvalve/process/sidecar_node.h
@@ -164,14 +164,13 @@
   }
 
   /// Hands over that a heartbeat of the upstream was accepted.
-  void PublishHeartbeat() {
-    heartbeats_.Add({.received_at = Clock::now(), .other_service = {}});
+  void PublishHeartbeat(connection::HeartbeatId heartbeat) {
+    heartbeats_.Add({Clock::now(), std::move(heartbeat), false});
   }
 
   /// Hands over a heartbeat that names another service.
-  void PublishOtherServiceHeartbeat(
-      connection::OtherServiceHeartbeat heartbeat) {
-    heartbeats_.Add({Clock::now(), std::move(heartbeat)});
+  void PublishOtherServiceHeartbeat(connection::HeartbeatId heartbeat) {
+    heartbeats_.Add({Clock::now(), std::move(heartbeat), true});
   }
 
   /// True until `Stop` is called.
@@ -203,8 +202,8 @@
 
   struct ReceivedHeartbeat {
     Clock::time_point received_at;
-    /// Empty for a heartbeat of the upstream.
-    std::optional<connection::OtherServiceHeartbeat> other_service;
+    connection::HeartbeatId id;
+    bool of_other_service = false;
   };
 
   // Bits that `WaitReadable` returns, in the order of its handles.
@@ -302,10 +301,10 @@
       gate_.OnStoredIncarnation(*it);
     }
     for (const ReceivedHeartbeat& it : heartbeats_.TakeAll()) {
-      if (it.other_service) {
-        gate_.OnOtherServiceHeartbeat(*it.other_service, now_);
+      if (it.of_other_service) {
+        gate_.OnOtherServiceHeartbeat(it.id, now_);
       } else {
-        gate_.OnHeartbeat(send_times_.SentAfter(it.received_at), now_);
+        gate_.OnHeartbeat(it.id, send_times_.SentAfter(it.received_at), now_);
       }
     }
   }
