Entry: renew the watch of the records when a sidecar is of another service

Two of three entry instances waited 10 s in a call for changes of the records that a silent store never answered. Meanwhile an address had passed to another service; flows that the only other upstream of their service returned for a full queue were offered there, returned as wrong_service and reset.

Change: it renews the call too, with the same limit of one in 2.5 s. A packet of a flow is never placed differently by it.

The new case of entry_router_test fails without the change (0 renewals).

--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -505,10 +505,11 @@
     return views[*placement.chosen];
   }
 
-  // No upstream of a service takes flows. Load pattern: all upstreams of a
-  // service are replaced while the connection of the call that waits for
-  // changes of their records delivers nothing any more. The call's own timeout
-  // would pass before their successors are known.
+  // No upstream of a service takes flows, or one is of another service than its
+  // record says. Load pattern: upstreams of a service are replaced while the
+  // connection of the call that waits for changes of their records delivers
+  // nothing any more. The call's own timeout would pass before their successors
+  // are known.
   void RenewRecordWatch(TimePoint now) {
     if (now >= next_watch_renewal_at_) {
       next_watch_renewal_at_ = now + kWatchRenewalInterval;
@@ -543,6 +544,9 @@
     if (UpstreamView* view = upstreams_.Find(from); view != nullptr) {
       view->OnFlowReturned(reason, now);
     }
+    if (reason == request::ReturnReason::kWrongService) {
+      RenewRecordWatch(now);
+    }
     const auto it = flows_.find(packet->flow);
     const version::Route* route = routes_->Find(packet->flow.service);
     if (it == flows_.end() || route == nullptr || it->second.holder != from ||
--- a/packages/connection/test/entry_router_test.cc
+++ b/packages/connection/test/entry_router_test.cc
@@ -665,6 +665,24 @@
   CHECK(busy.sink.watch_renewals == 0);
 }
 
+// Guards against flows that are refused while the call that waits for changes
+// of the records hangs: an upstream's address passed to another service, and
+// the only other upstream of the service is full.
+TEST_CASE(
+    "entry_router: the watch of the records is renewed when a sidecar is of "
+    "another service than its record") {
+  Fixture f;
+  f.ReceiveSyn(1);
+  const Sent last = f.LastPacket();
+  CHECK(f.sink.watch_renewals == 0);
+  f.router.OnHopMessage(last.to,
+                        {.kind = HopKind::kReturned,
+                         .service = request::ServiceTagOf("evidencia"),
+                         .reason = ReturnReason::kWrongService},
+                        last.packet, f.now);
+  CHECK(f.sink.watch_renewals == 1);
+}
+
 TEST_CASE("entry_router: a packet without payload resets nothing") {
   Fixture f;
   f.now += milliseconds(1);
