Sidecar: return waiting first packets when no heartbeat is expected any more

Callers whose flows waited for a silent upstream's heartbeat waited until their deadlines, also when flows that arrived later were returned at once. The queue kept the expired ones while the lease stayed lapsed, and ignored new first packets from the same ports.

Change: the rule that returns new flows applies to waiting ones too.

Evidence: the new unit test fails on: one instead of two returned, and one still waiting 60 s later.

--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -483,11 +483,7 @@
                                  const request::ParsedPacket& packet,
                                  TimePoint now) {
     SendReport(entry);
-    const bool heartbeat_expected =
-        reported_lease_ == LeaseState::kLapsed &&
-        !responsiveness_.unresponsive() &&
-        now - lapsed_at_.value_or(now) < lease_.duration();
-    if (!heartbeat_expected) {
+    if (!IsHeartbeatExpected(now)) {
       Return(entry, packet, request::ReturnReason::kUnresponsive);
       return;
     }
@@ -497,6 +493,14 @@
     }
   }
 
+  // Whether the upstream is only silent, and not for long. Called after
+  // `CheckLease`.
+  bool IsHeartbeatExpected(TimePoint now) const {
+    return reported_lease_ == LeaseState::kLapsed &&
+           !responsiveness_.unresponsive() &&
+           now - lapsed_at_.value_or(now) < lease_.duration();
+  }
+
   // Adds a first packet to the queue.
   // @return false when the queue is full.
   bool KeepWaiting(const request::Endpoint& entry,
@@ -537,9 +541,9 @@
     }
     if (std::exchange(reported_lease_, state) != state) {
       RecordVerdict(GateVerdict::kLease, {});
-      if (state == LeaseState::kContested) {
-        ReturnWaiting(request::ReturnReason::kUnresponsive);
-      }
+    }
+    if (state != LeaseState::kHeld && !IsHeartbeatExpected(now)) {
+      ReturnWaiting(request::ReturnReason::kUnresponsive);
     }
     if (UpdateReportedResponsiveness(now)) {
       SendReports(now);
--- a/packages/connection/test/upstream_gate_test.cc
+++ b/packages/connection/test/upstream_gate_test.cc
@@ -548,6 +548,37 @@
   CHECK(f.sink.delivered == 1);
 }
 
+// Guards against flows that wait for their callers' deadlines although no
+// heartbeat is expected any more, and against a queue that keeps them after it.
+TEST_CASE(
+    "upstream_gate: waiting first packets are returned when the upstream has "
+    "been silent for long") {
+  Sink sink;
+  TimePoint now{std::chrono::hours(1)};
+  UpstreamGate<Sink> gate{"patio", kLeaseDuration, &sink};
+  Fixture packets;
+  request::HopMessage message;
+  message.kind = HopKind::kPacket;
+  message.service = request::ServiceTagOf("patio");
+  message.max_wait = milliseconds(4000);
+  message.final_offer = true;
+  gate.OnCallerPacket(kEntry, message, packets.CallerSyn(1), now);
+  REQUIRE(gate.waiting() == 1);
+  for (const TimePoint end = now + 2 * kLeaseDuration; now < end;) {
+    now += milliseconds(50);
+    gate.OnTick(now);
+  }
+  // A flow that arrives now is returned at once.
+  gate.OnCallerPacket(kEntry, message, packets.CallerSyn(2), now);
+  REQUIRE(sink.last(HopKind::kReturned).reason == ReturnReason::kUnresponsive);
+  CHECK(sink.count(HopKind::kReturned) == 2);
+  for (const TimePoint end = now + milliseconds(60000); now < end;) {
+    now += milliseconds(50);
+    gate.OnTick(now);
+  }
+  CHECK(gate.waiting() == 0);
+}
+
 TEST_CASE("upstream_gate: load is reported to active entry instances") {
   Fixture f;
   f.OpenFlow(1);
