Sidecar: accept the upstream in use after a clock step to before its start

Heartbeats of an upstream in use were rejected as of one from the future while the time of day of its sidecar was stepped back to more than 60 s before its start. Since first packets need a lease, an idle upstream would get no flows until then.

Change: the bound on start times applies to starts that are not in use.

Steps of minutes are outside what the platform states; no process test was run.

--- a/packages/connection/src/identity_tracker.cc
+++ b/packages/connection/src/identity_tracker.cc
@@ -15,11 +15,13 @@
   if (!service_.empty() && identity.service != service_) {
     return HeartbeatVerdict::kOtherService;
   }
-  if (identity.incarnation_ms > now_ms + kMaxClockDifferenceMs) {
+  const StartId start{identity.instance, identity.incarnation_ms};
+  // The time of day may have been stepped back since the latest start.
+  if (starts_.latest() != start &&
+      identity.incarnation_ms > now_ms + kMaxClockDifferenceMs) {
     return HeartbeatVerdict::kFromFuture;
   }
-  switch (starts_.OnMessage({identity.instance, identity.incarnation_ms},
-                            heartbeat.sequence, now)) {
+  switch (starts_.OnMessage(start, heartbeat.sequence, now)) {
     case StartVerdict::kEarlier:
       return HeartbeatVerdict::kEarlierIncarnation;
     case StartVerdict::kRepeated:
--- a/packages/connection/test/identity_tracker_test.cc
+++ b/packages/connection/test/identity_tracker_test.cc
@@ -97,6 +97,17 @@
   CHECK(Accepts(&tracker, Heartbeat(kNowMs + 60000, 1)));
 }
 
+// Guards against an upstream that gets no flows until the time of day of its
+// sidecar has caught up with its start.
+TEST_CASE(
+    "identity_tracker: the upstream in use is accepted after a step of the "
+    "sidecar's clock to before its start") {
+  IdentityTracker tracker;
+  REQUIRE(Accepts(&tracker, Heartbeat(kNowMs, 1)));
+  CHECK(tracker.OnHeartbeat(Heartbeat(kNowMs, 2), kNowMs - 120000, kNow) ==
+        HeartbeatVerdict::kAccepted);
+}
+
 // After a restart the sidecar took a delayed heartbeat of an upstream that had
 // been replaced, and wrote its record over that of the successor.
 TEST_CASE(
