Send times: keep an earlier pause while its messages may still wait

A pause of just over 100 ms within 300 ms after a long one, as on a core whose share is used up, replaced it: a heartbeat that had waited since the long one began counted as sent when the short one began, and granted a lease for an upstream that may have been replaced.

Change: every pause counts for `kBacklogTime` after its end. Repeated short pauses make a message older by about that time at most.

No process test was run.

--- a/packages/process/include/kumquatvalve/process/send_times.h
+++ b/packages/process/include/kumquatvalve/process/send_times.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <optional>
+#include <vector>
 
 namespace kumquatvalve::process {
 
@@ -37,12 +38,17 @@
   static constexpr std::chrono::milliseconds kBacklogTime{300};
 
  private:
+  struct Pause {
+    TimePoint paused_at;
+    TimePoint resumed_at;
+  };
+
   TimePoint previous_;
   TimePoint last_;
   std::optional<std::chrono::nanoseconds> last_since_boot_;
-  /// The last pause.
-  TimePoint paused_at_;
-  TimePoint resumed_at_;
+  /// The last pause, and earlier ones of which messages may still have been
+  /// waiting when it began.
+  std::vector<Pause> pauses_;
 };
 
 }  // namespace kumquatvalve::process
--- a/packages/process/src/send_times.cc
+++ b/packages/process/src/send_times.cc
@@ -1,5 +1,6 @@
 #include "kumquatvalve/process/send_times.h"
 
+#include <algorithm>
 #include <ctime>
 
 namespace kumquatvalve::process {
@@ -20,8 +21,10 @@
         since_boot - *last_since_boot_ - (now - last_));
     suspended = suspended < kMinPause ? milliseconds(0) : suspended;
     if (now - last_ + suspended > kMinPause) {
-      paused_at_ = last_;
-      resumed_at_ = now;
+      std::erase_if(pauses_, [&](const Pause& it) {
+        return it.resumed_at + kBacklogTime <= last_;
+      });
+      pauses_.push_back({.paused_at = last_, .resumed_at = now});
     }
   }
   previous_ = last_since_boot_ ? last_ : now;
@@ -31,9 +34,15 @@
 }
 
 SendTimes::TimePoint SendTimes::SentAfter(TimePoint received_at) const {
-  const bool during_or_after =
-      received_at > paused_at_ && received_at < resumed_at_ + kBacklogTime;
-  return during_or_after ? paused_at_ : received_at;
+  TimePoint sent_after = received_at;
+  for (const Pause& it : pauses_) {
+    const bool during_or_after = received_at > it.paused_at &&
+                                 received_at < it.resumed_at + kBacklogTime;
+    if (during_or_after) {
+      sent_after = std::min(sent_after, it.paused_at);
+    }
+  }
+  return sent_after;
 }
 
 }  // namespace kumquatvalve::process
--- a/packages/process/test/send_times_test.cc
+++ b/packages/process/test/send_times_test.cc
@@ -53,6 +53,32 @@
   CHECK(f.Iterate(milliseconds(50)) == milliseconds(0));
 }
 
+// Guards against a second, shorter gap, as on a core whose share is used up,
+// that makes what waited during the first one look recent.
+TEST_CASE(
+    "send_times: a message read after two pauses in succession may be as old "
+    "as the first one") {
+  Fixture f;
+  f.Iterate(milliseconds(0));
+  const auto paused_at = f.now;
+  f.Iterate(milliseconds(3000));
+  f.Iterate(milliseconds(50));
+  f.Iterate(SendTimes::kMinPause + milliseconds(20));
+  CHECK(f.times.SentAfter(f.now) <= paused_at);
+}
+
+// Guards against an upstream without flows beside a sidecar that gets a part of
+// a core only.
+TEST_CASE("send_times: repeated short pauses do not make every message old") {
+  Fixture f;
+  f.Iterate(milliseconds(0));
+  constexpr milliseconds kGap = SendTimes::kMinPause + milliseconds(50);
+  for (int i = 0; i < 100; ++i) {
+    f.Iterate(kGap);
+  }
+  CHECK(f.now - f.times.SentAfter(f.now) <= SendTimes::kBacklogTime + 2 * kGap);
+}
+
 TEST_CASE("send_times: time since boot passes") {
   const auto first = TimeSinceBoot();
   CHECK(first > std::chrono::nanoseconds(0));
