Sidecar: let bulk transfers wait for the upstream's heartbeat

Callers of downloads and uploads got resets for up to one heartbeat interval after the sidecars of a service had been restarted beside live upstreams.

Cause: entry instances let bulk transfers wait for no slot (`max_wait` 0). A sidecar without a lease returned these at once, and after five offers the entry instance refused the flow.

The new unit test fails without the change.

--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -299,6 +299,8 @@
   // the maximum delay with which it sees a changed load.
   static constexpr Milliseconds kReportInterval{100};
   static constexpr Milliseconds kSweepInterval{1000};
+  // How long a flow that may not wait for a slot waits for a heartbeat.
+  static constexpr Milliseconds kMaxHeartbeatWait{1200};
   static constexpr Milliseconds kOpeningFlowTtl{2000};
   static constexpr Milliseconds kEndedFlowTtl{4000};
   // Idle open flows may be removed: the next packet of the upstream adds them
@@ -487,8 +489,12 @@
       Return(entry, packet, request::ReturnReason::kUnresponsive);
       return;
     }
-    const bool may_wait = message.final_offer && message.max_wait.count() != 0;
-    if (!may_wait || !KeepWaiting(entry, message, packet, now)) {
+    // A bulk transfer that does not wait for a slot waits for the heartbeat.
+    request::HopMessage offer = message;
+    if (offer.max_wait.count() == 0) {
+      offer.max_wait = kMaxHeartbeatWait;
+    }
+    if (!offer.final_offer || !KeepWaiting(entry, offer, packet, now)) {
       Return(entry, packet, request::ReturnReason::kQueueFull);
     }
   }
--- a/packages/connection/test/upstream_gate_test.cc
+++ b/packages/connection/test/upstream_gate_test.cc
@@ -579,6 +579,29 @@
   CHECK(gate.waiting() == 0);
 }
 
+// Guards against resets of bulk transfers after a restart of their sidecar
+// beside a live upstream: entry instances let them wait for no slot.
+TEST_CASE(
+    "upstream_gate: a bulk transfer without another choice waits for the first "
+    "heartbeat") {
+  Sink sink;
+  TimePoint now{std::chrono::hours(1)};
+  UpstreamGate<Sink> gate{"patio", kLeaseDuration, &sink};
+  Fixture packets;
+  request::HopMessage message;
+  message.kind = HopKind::kPacket;
+  message.service = request::ServiceTagOf("patio");
+  message.max_wait = milliseconds(0);
+  message.final_offer = true;
+  gate.OnCallerPacket(kEntry, message, packets.CallerSyn(1), now);
+  CHECK(sink.count(HopKind::kReturned) == 0);
+  now += milliseconds(600);
+  gate.OnTick(now);
+  gate.OnIdentity({"patio", "i-1", kStartedAfterSidecar, 2, false}, now);
+  gate.OnHeartbeat(now, now);
+  CHECK(sink.delivered == 1);
+}
+
 TEST_CASE("upstream_gate: load is reported to active entry instances") {
   Fixture f;
   f.OpenFlow(1);
