Sidecar: take only the first heartbeat as evidence of all flows

Callers saw resets of open flows that their upstream held: the upstream crashed and started again 1.5 s later, its first heartbeat was lost, callers opened flows within 0.6 s, and the sidecar was restarted, as planned work, before the next heartbeat. 9 s later each of these flows was reset.

Cause: UpstreamGate::SawAllFlows concluded from a record of an earlier start in the store and one of the upstream's first two heartbeats that no earlier process of the sidecar had admitted flows of this start.

Change: the conclusion needs the very first heartbeat: numbered 0 or 1, within 100 ms after the start time that it names, and no record of that start. A sidecar that missed it replies that it may not know the flows of the first few seconds: one bit of the inconclusive reply and of the list, in a free bit of the header. Upstreams of the flow's services are probed. For other services, whose upstreams are never probed, such a reply leaves the flow to be taken for lost, as before; otherwise no lost flow would be reset after a power failure.

Test changed: "a sidecar that started shortly after its upstream has seen every flow" asserted the wrong conclusion, from the same evidence as in the fault.

The start time is used only against the conclusion, so a stepped clock makes a sidecar more cautious.

--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -154,7 +154,11 @@
         OnNotHeld(from, message.flow, now);
         return;
       case request::HopKind::kInconclusive:
-        locator_.OnInconclusive(from, message.flow, now);
+        locator_.OnInconclusive(from, message.flow,
+                                message.missed_only_first_flows
+                                    ? FlowSearch::Missed::kFirstFlows
+                                    : FlowSearch::Missed::kAny,
+                                now);
         return;
       case request::HopKind::kFlows:
         locator_.OnFlowList(from, message.list, packet, now);
--- a/packages/connection/include/kumquatvalve/connection/flow_listing.h
+++ b/packages/connection/include/kumquatvalve/connection/flow_listing.h
@@ -32,6 +32,9 @@
     /// The flow is not in the list, but the sidecar started later than its
     /// upstream and may not know all flows.
     kInconclusive,
+    /// The same, but it knows all flows except for those of the first few
+    /// seconds after the upstream's start.
+    kInconclusiveForFirstFlows,
   };
 
   /// Starts a round; replies to earlier rounds are ignored.
@@ -72,6 +75,7 @@
   struct Reply {
     uint16_t parts = 0;
     bool may_miss_flows = false;
+    bool missed_only_first_flows = false;
     std::vector<bool> received;
     absl::flat_hash_set<uint32_t> fingerprints;
 
--- a/packages/connection/include/kumquatvalve/connection/flow_locator.h
+++ b/packages/connection/include/kumquatvalve/connection/flow_locator.h
@@ -143,10 +143,11 @@
   /// Its upstream is probed unless another sidecar replies that it holds the
   /// flow.
   void OnInconclusive(const request::Endpoint& from,
-                      const request::FlowKey& key, TimePoint now) {
+                      const request::FlowKey& key, FlowSearch::Missed missed,
+                      TimePoint now) {
     const auto it = searches_.find(key);
     if (it != searches_.end()) {
-      it->second.OnInconclusive(from);
+      it->second.OnInconclusive(from, missed);
       ContinueSearch(it, now);
     }
   }
@@ -382,7 +383,11 @@
         break;
       case FlowListing::Result::kInconclusive:
         search->MarkQueried(sidecar, now, probing);
-        search->OnInconclusive(sidecar);
+        search->OnInconclusive(sidecar, FlowSearch::Missed::kAny);
+        break;
+      case FlowListing::Result::kInconclusiveForFirstFlows:
+        search->MarkQueried(sidecar, now, probing);
+        search->OnInconclusive(sidecar, FlowSearch::Missed::kFirstFlows);
         break;
     }
   }
--- a/packages/connection/include/kumquatvalve/connection/flow_search.h
+++ b/packages/connection/include/kumquatvalve/connection/flow_search.h
@@ -28,6 +28,15 @@
     kForbidden,
   };
 
+  /// Which flows a sidecar with an inconclusive reply may not know.
+  enum class Missed {
+    kAny,
+    /// Only flows of the first few seconds after its upstream's start. An
+    /// upstream of another service can hold one of them only if the route
+    /// changed within these seconds, so the reply is certain enough there.
+    kFirstFlows,
+  };
+
   enum class Step {
     /// Replies are pending.
     kWait,
@@ -72,7 +81,8 @@
   /// The sidecar replied that it cannot know whether its upstream holds the
   /// flow. When the upstream must not be probed, it counts as one that does not
   /// hold the flow, see `HasUncertainReply`.
-  void OnInconclusive(const request::Endpoint& sidecar);
+  void OnInconclusive(const request::Endpoint& sidecar,
+                      Missed missed = Missed::kAny);
 
   /// What to do next. Missing replies delay probes by at most `kReplyTimeout`,
   /// and those of sidecars whose upstreams must not be probed delay the result
@@ -84,8 +94,8 @@
   std::vector<request::Endpoint> TakeSidecarsToProbe();
 
   /// Whether a sidecar whose upstream must not be probed could not say that the
-  /// flow is not held there: its reply was inconclusive, or is missing although
-  /// it is not presumed dead.
+  /// flow is not held there: it may have missed any flow, or its reply is
+  /// missing although it is not presumed dead.
   bool HasUncertainReply(const IsPresumedDead& is_dead) const;
 
   bool HasQueries() const { return !queries_.empty(); }
@@ -128,6 +138,7 @@
     State state = State::kQueried;
     Probing probing = Probing::kAllowed;
     TimePoint first_sent_at;
+    Missed missed = Missed::kAny;
   };
 
   // Whether the search waits for the reply to a query or a probe.
--- a/packages/connection/include/kumquatvalve/connection/identity_tracker.h
+++ b/packages/connection/include/kumquatvalve/connection/identity_tracker.h
@@ -24,12 +24,15 @@
   uint32_t slots = 1;
   bool draining = false;
   /// Position of this start among those of the sidecar's upstreams; set by
-  /// `IdentityTracker`, as are the next two.
+  /// `IdentityTracker`, as are the next three.
   request::StartOrder order;
   /// The upstream started while this sidecar process ran.
   bool started_after_sidecar = false;
   /// At most a few heartbeats were sent before the first one that arrived here.
   bool is_new = false;
+  /// The upstream's first heartbeat arrived here, right after its start. An
+  /// earlier process of the sidecar ended too soon to admit flows to it.
+  bool first_heartbeat_received = false;
 
   friend bool operator==(const UpstreamIdentity&,
                          const UpstreamIdentity&) = default;
@@ -109,6 +112,8 @@
   std::string service_;
   LatestStart starts_;
   std::optional<UpstreamIdentity> current_;
+  /// `UpstreamIdentity::first_heartbeat_received` of the latest start.
+  bool first_heartbeat_received_ = false;
   /// The latest upstream was draining according to a record, and a drain is
   /// never cancelled.
   bool drain_recorded_ = false;
--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -372,8 +372,20 @@
   // between them.
   bool SawAllFlows() const {
     return ran_for_idle_ttl_ || identity_.started_after_sidecar ||
-           (identity_.is_new && stored_incarnation_ms_ &&
-            *stored_incarnation_ms_ != identity_.incarnation_ms);
+           (identity_.first_heartbeat_received && HasOtherRecord());
+  }
+
+  // Whether only flows of the first few heartbeat intervals of the current
+  // incarnation may be unknown to this process.
+  bool MissedOnlyFirstFlows() const {
+    return identity_.is_new && HasOtherRecord();
+  }
+
+  // Whether the store was read and no earlier process recorded the current
+  // incarnation there.
+  bool HasOtherRecord() const {
+    return stored_incarnation_ms_ &&
+           *stored_incarnation_ms_ != identity_.incarnation_ms;
   }
 
   void OnNewIncarnation(bool same_service) {
@@ -693,6 +705,8 @@
     reply.service = tag_;
     reply.list.round = query.list.round;
     reply.list.inconclusive = query.service == tag_ && !SawAllFlows();
+    reply.list.missed_only_first_flows =
+        reply.list.inconclusive && MissedOnlyFirstFlows();
     reply.list.parts = static_cast<uint16_t>(std::max<size_t>(
         1, (fingerprints.size() + request::kMaxFingerprintsPerDatagram - 1) /
                request::kMaxFingerprintsPerDatagram));
@@ -716,6 +730,8 @@
     reply.kind = kind;
     reply.service = tag_;
     reply.flow = flow;
+    reply.missed_only_first_flows =
+        kind == request::HopKind::kInconclusive && MissedOnlyFirstFlows();
     sink_->Send(entry, reply, {});
   }
 
--- a/packages/connection/src/flow_listing.cc
+++ b/packages/connection/src/flow_listing.cc
@@ -32,6 +32,7 @@
     reply.received.resize(list.parts);
   }
   reply.may_miss_flows = list.inconclusive;
+  reply.missed_only_first_flows = list.missed_only_first_flows;
   reply.received[list.part] = true;
   reply.fingerprints.insert(fingerprints.begin(), fingerprints.end());
 }
@@ -61,7 +62,11 @@
   if (!it->second.IsComplete()) {
     return Result::kNoReply;
   }
-  return it->second.may_miss_flows ? Result::kInconclusive : Result::kNotHeld;
+  if (!it->second.may_miss_flows) {
+    return Result::kNotHeld;
+  }
+  return it->second.missed_only_first_flows ? Result::kInconclusiveForFirstFlows
+                                            : Result::kInconclusive;
 }
 
 }  // namespace kumquatvalve::connection
--- a/packages/connection/src/flow_search.cc
+++ b/packages/connection/src/flow_search.cc
@@ -13,8 +13,8 @@
 
 void FlowSearch::MarkQueried(const request::Endpoint& sidecar, TimePoint now,
                              Probing probing) {
-  const auto [it, inserted] =
-      queries_.try_emplace(sidecar, Query{State::kQueried, probing, now});
+  const auto [it, inserted] = queries_.try_emplace(
+      sidecar, Query{State::kQueried, probing, now, Missed::kAny});
   it->second.state = State::kQueried;
   last_query_at_ = now;
 }
@@ -25,12 +25,14 @@
   }
 }
 
-void FlowSearch::OnInconclusive(const request::Endpoint& sidecar) {
+void FlowSearch::OnInconclusive(const request::Endpoint& sidecar,
+                                Missed missed) {
   const auto it = queries_.find(sidecar);
   if (it != queries_.end() && it->second.state == State::kQueried) {
     it->second.state = it->second.probing == Probing::kAllowed
                            ? State::kInconclusive
                            : State::kUncertain;
+    it->second.missed = missed;
   }
 }
 
@@ -49,7 +51,8 @@
   return std::any_of(queries_.begin(), queries_.end(), [&](const auto& it) {
     const auto& [sidecar, query] = it;
     return query.probing == Probing::kForbidden &&
-           (query.state == State::kUncertain ||
+           ((query.state == State::kUncertain &&
+             query.missed == Missed::kAny) ||
             (query.state == State::kQueried && !is_dead(sidecar)));
   });
 }
--- a/packages/connection/src/identity_tracker.cc
+++ b/packages/connection/src/identity_tracker.cc
@@ -7,6 +7,20 @@
 // An upstream from further ahead would keep out all later ones.
 constexpr uint64_t kMaxClockDifferenceMs = 60000;
 
+// Sequence numbers begin at 0 or 1.
+constexpr uint64_t kMaxFirstSequence = 1;
+
+// Less than a sidecar process needs to end and the next one to start.
+constexpr uint64_t kMaxFirstHeartbeatDelayMs = 100;
+
+// The number alone does not show whether number 1 follows a lost number 0, and
+// the time alone proves nothing, since the time of day may have been stepped.
+bool IsFirst(const UpstreamHeartbeat& heartbeat, uint64_t now_ms) {
+  const uint64_t start_ms = heartbeat.identity.incarnation_ms;
+  return heartbeat.sequence <= kMaxFirstSequence && now_ms >= start_ms &&
+         now_ms - start_ms <= kMaxFirstHeartbeatDelayMs;
+}
+
 }  // namespace
 
 HeartbeatVerdict IdentityTracker::OnHeartbeat(
@@ -28,6 +42,7 @@
                  : HeartbeatVerdict::kLate;
     case StartVerdict::kReplaced:
       drain_recorded_ = false;
+      first_heartbeat_received_ = IsFirst(heartbeat, now_ms);
       break;
     case StartVerdict::kLatest:
       break;
@@ -46,6 +61,7 @@
   current_->order = starts_.order();
   current_->started_after_sidecar = starts_.began_after_creation();
   current_->is_new = starts_.is_new();
+  current_->first_heartbeat_received = first_heartbeat_received_;
   return *current_ != previous;
 }
 
@@ -58,6 +74,8 @@
   const StartId start{record.instance, record.incarnation_ms};
   if (starts_.OnKnownStart(start, order, now)) {
     drain_recorded_ = record.draining;
+    // The process that announced the start has received heartbeats of it.
+    first_heartbeat_received_ = false;
     const bool changed = current_.has_value();
     current_.reset();
     return changed;
--- a/packages/connection/test/flow_listing_test.cc
+++ b/packages/connection/test/flow_listing_test.cc
@@ -22,10 +22,12 @@
 
   void ReceivePart(int sidecar, std::vector<uint32_t> fingerprints,
                    uint16_t part = 0, uint16_t parts = 1,
-                   bool may_miss_flows = false) {
-    listing.OnReplyPart(Sidecar(sidecar),
-                        {listing.round(), part, parts, may_miss_flows},
-                        fingerprints);
+                   bool may_miss_flows = false,
+                   bool missed_only_first_flows = false) {
+    listing.OnReplyPart(
+        Sidecar(sidecar),
+        {listing.round(), part, parts, may_miss_flows, missed_only_first_flows},
+        fingerprints);
   }
 
   FlowListing listing;
@@ -62,6 +64,11 @@
   f.ReceivePart(1, {7}, 0, 1, /*may_miss_flows=*/true);
   CHECK(f.listing.ResultFor(Sidecar(1), 7) == Result::kMayHold);
   CHECK(f.listing.ResultFor(Sidecar(1), 9) == Result::kInconclusive);
+  f.ReceivePart(2, {7}, 0, 1, /*may_miss_flows=*/true,
+                /*missed_only_first_flows=*/true);
+  CHECK(f.listing.ResultFor(Sidecar(2), 7) == Result::kMayHold);
+  CHECK(f.listing.ResultFor(Sidecar(2), 9) ==
+        Result::kInconclusiveForFirstFlows);
 }
 
 TEST_CASE("flow_listing: replies to an earlier round are ignored") {
--- a/packages/connection/test/flow_search_test.cc
+++ b/packages/connection/test/flow_search_test.cc
@@ -86,6 +86,24 @@
   CHECK(f.search.TakeSidecarsToProbe() == std::vector{Sidecar(2)});
 }
 
+// Guards against lost flows that are not reset for a minute after a power
+// failure in which upstreams started before their sidecars.
+TEST_CASE(
+    "flow_search: a sidecar of another service that missed only the first "
+    "flows leaves no uncertainty") {
+  Fixture f(1);
+  f.search.OnNotHeld(Sidecar(1));
+  f.search.MarkQueried(Sidecar(2), f.now, FlowSearch::Probing::kForbidden);
+  CHECK(f.HasUncertainReply());
+  f.search.OnInconclusive(Sidecar(2), FlowSearch::Missed::kFirstFlows);
+  CHECK(f.NextStep() == Step::kNotHeld);
+  CHECK_FALSE(f.HasUncertainReply());
+  // An upstream of a service of the address may hold one of its first flows.
+  f.search.AllowProbing(Sidecar(2));
+  CHECK(f.NextStep() == Step::kProbe);
+  CHECK(f.search.TakeSidecarsToProbe() == std::vector{Sidecar(2)});
+}
+
 TEST_CASE("flow_search: a missing reply of another service is uncertain") {
   Fixture f(2);
   f.search.OnNotHeld(Sidecar(1));
--- a/packages/connection/test/identity_tracker_test.cc
+++ b/packages/connection/test/identity_tracker_test.cc
@@ -243,6 +243,46 @@
       tracker.OnKnownRecord(Record(2600, true, kNowMs + 60001), kNowMs, kNow));
 }
 
+// Whether heartbeat `sequence`, which arrives `delay_ms` after the start of its
+// upstream, is taken for the upstream's first one.
+bool IsFirst(uint64_t sequence, int delay_ms) {
+  IdentityTracker tracker("patio");
+  CHECK(Accepts(&tracker, Heartbeat(kNowMs - delay_ms, sequence)));
+  return tracker.current()->first_heartbeat_received;
+}
+
+TEST_CASE(
+    "identity_tracker: the first heartbeat arrives right after the start") {
+  CHECK(IsFirst(1, 13));
+  CHECK(IsFirst(0, 13));
+}
+
+// Callers saw resets of flows that an earlier process of the sidecar had
+// admitted before any heartbeat of the upstream arrived.
+TEST_CASE(
+    "identity_tracker: a heartbeat is not the first one when another may have "
+    "been lost") {
+  CHECK_FALSE(IsFirst(2, 1200));
+  // The upstream counts from 0.
+  CHECK_FALSE(IsFirst(1, 1200));
+  // The clock was stepped between the start and the heartbeat.
+  CHECK_FALSE(IsFirst(2, 13));
+  CHECK_FALSE(IsFirst(1, -1200));
+}
+
+// Guards against a sidecar that denies flows of an earlier process, which had
+// announced the upstream to the entry instances while the store was
+// unavailable.
+TEST_CASE(
+    "identity_tracker: the first heartbeat of an upstream that has a record "
+    "arrived at an earlier process") {
+  IdentityTracker tracker("patio");
+  CHECK(Accepts(&tracker, Heartbeat(kNowMs - 50, 1)));
+  tracker.OnKnownRecord(Record(kNowMs - 13, false), kNowMs, kNow);
+  CHECK(Accepts(&tracker, Heartbeat(kNowMs - 13, 1)));
+  CHECK_FALSE(tracker.current()->first_heartbeat_received);
+}
+
 // The clock of another machine had the same address before and was ahead:
 // during an outage of the store the upstream got no flows.
 TEST_CASE(
--- a/packages/connection/test/upstream_gate_test.cc
+++ b/packages/connection/test/upstream_gate_test.cc
@@ -87,10 +87,11 @@
     gate.OnIdentity(identity, now);
     gate.OnHeartbeat(now, now);
   }
-  // The heartbeats of the upstream are the first ones that this process gets.
+  // The upstream's first heartbeat arrived here, right after its start.
   void AnnounceNewIdentity(uint64_t incarnation_ms) {
     UpstreamIdentity identity{"patio", "i-1", incarnation_ms, 2, false};
     identity.is_new = true;
+    identity.first_heartbeat_received = true;
     gate.OnIdentity(identity, now);
     gate.OnHeartbeat(now, now);
   }
@@ -783,11 +784,10 @@
   CHECK(f.gate.waiting() == 0);
 }
 
-// Guards against repeated probes of every lost flow at every upstream after a
-// power failure, when sidecars start some tenths of a second later than their
-// upstreams.
+// Guards against probes of every lost flow at every upstream after a power
+// failure, when sidecars and their upstreams start at about the same time.
 TEST_CASE(
-    "upstream_gate: a sidecar that started shortly after its upstream has seen "
+    "upstream_gate: a sidecar that got its upstream's first heartbeat has seen "
     "every flow") {
   Fixture f(kStartedBeforeSidecar);
   f.AnnounceNewIdentity(kSidecarStart - 500);
@@ -822,6 +822,55 @@
   }
 }
 
+// Callers saw resets of open flows: an upstream crashed and started again, its
+// first heartbeat was lost, and the sidecar that had admitted the flows was
+// restarted before the next one. The store had the record of the earlier start.
+TEST_CASE(
+    "upstream_gate: a sidecar that missed its upstream's first heartbeat has "
+    "not seen every flow") {
+  IdentityTracker tracker("patio");
+  const uint64_t start = kSidecarStart - 900;
+  UpstreamHeartbeat heartbeat{{"patio", "i-2", start, 2, false}, 2};
+  Fixture f(kStartedBeforeSidecar);
+  tracker.OnHeartbeat(heartbeat, start + 1200, f.now);
+  f.gate.OnIdentity(*tracker.current(), f.now);
+  f.gate.OnStoredIncarnation(kStartedBeforeSidecar);
+  f.QueryHolder(1);
+  CHECK(f.sink.count(HopKind::kInconclusive) == 1);
+  f.ReceiveFromCaller(f.CallerData(1));
+  CHECK(f.sink.delivered == 1);
+  CHECK(f.sink.count(HopKind::kNotHeld) == 0);
+  f.ReceiveFromUpstream(f.UpstreamPacket(1));
+  CHECK(f.sink.count(HopKind::kHeld) == 1);
+}
+
+// Guards against lost flows that are not reset for a minute after a power
+// failure in which upstreams started before their sidecars: each sidecar could
+// only reply that its upstream may hold any flow.
+TEST_CASE(
+    "upstream_gate: a sidecar that missed its upstream's first heartbeat "
+    "replies that it missed only the first flows") {
+  Fixture f(kStartedBeforeSidecar);
+  UpstreamIdentity identity{"patio", "i-2", kSidecarStart - 900, 2, false};
+  identity.is_new = true;
+  f.gate.OnIdentity(identity, f.now);
+  f.QueryHolder(1);
+  CHECK_FALSE(f.sink.last(HopKind::kInconclusive).missed_only_first_flows);
+  f.gate.OnStoredIncarnation(kStartedBeforeSidecar);
+  f.QueryHolder(1);
+  CHECK(f.sink.last(HopKind::kInconclusive).missed_only_first_flows);
+  request::HopMessage query;
+  query.kind = HopKind::kList;
+  query.service = request::ServiceTagOf("patio");
+  f.gate.OnHopMessage(kEntry, query, f.now);
+  CHECK(f.sink.last(HopKind::kFlows).list.inconclusive);
+  CHECK(f.sink.last(HopKind::kFlows).list.missed_only_first_flows);
+  // An earlier process recorded the upstream and may have run for long.
+  f.gate.OnStoredIncarnation(kSidecarStart - 900);
+  f.QueryHolder(1);
+  CHECK_FALSE(f.sink.last(HopKind::kInconclusive).missed_only_first_flows);
+}
+
 TEST_CASE(
     "upstream_gate: a sidecar that started shortly after its upstream draws no "
     "conclusion before the store was read") {
--- a/packages/request/include/kumquatvalve/request/hop_message.h
+++ b/packages/request/include/kumquatvalve/request/hop_message.h
@@ -103,6 +103,8 @@
   uint16_t parts = 0;
   /// The sidecar started after its upstream and may not know all its flows.
   bool inconclusive = false;
+  /// With `inconclusive`: as `HopMessage::missed_only_first_flows`.
+  bool missed_only_first_flows = false;
 
   friend bool operator==(const FlowList&, const FlowList&) = default;
 };
@@ -151,6 +153,9 @@
   UpstreamLoad load;
   /// For `kList` and `kFlows`.
   FlowList list;
+  /// For `kInconclusive`: the sidecar knows all flows except for those of the
+  /// first few seconds after its upstream's start.
+  bool missed_only_first_flows = false;
 };
 
 /// Maximum size of an encoded message without the packet, in bytes.
--- a/packages/request/src/hop_message.cc
+++ b/packages/request/src/hop_message.cc
@@ -18,6 +18,7 @@
 constexpr uint8_t kFinalOfferFlag = 1U << 3;
 constexpr uint8_t kInconclusiveListFlag = 1U << 4;
 constexpr uint8_t kTargetFlag = 1U << 5;
+constexpr uint8_t kMissedOnlyFirstFlowsFlag = 1U << 6;
 
 // Times are encoded in 16 bits.
 constexpr int64_t kMaxTimeMs = 65535;
@@ -117,7 +118,11 @@
          (message.load.draining ? kDrainingFlag : 0) |
          (message.load.unresponsive ? kUnresponsiveFlag : 0) |
          (message.list.inconclusive ? kInconclusiveListFlag : 0) |
-         (CarriesTarget(message) ? kTargetFlag : 0);
+         (CarriesTarget(message) ? kTargetFlag : 0) |
+         (message.missed_only_first_flows ||
+                  message.list.missed_only_first_flows
+              ? kMissedOnlyFirstFlowsFlag
+              : 0);
 }
 
 }  // namespace
@@ -232,6 +237,7 @@
     message.flow.service = reader.GetEndpoint();
     message.flow.protocol = IPPROTO_TCP;
     message.acknowledgment = reader.Get<uint32_t>();
+    message.missed_only_first_flows = (flags & kMissedOnlyFirstFlowsFlag) != 0;
   }
   if (message.kind == HopKind::kLoad) {
     message.load.incarnation_ms = reader.Get<uint64_t>();
@@ -248,6 +254,8 @@
     message.list.part = reader.Get<uint16_t>();
     message.list.parts = reader.Get<uint16_t>();
     message.list.inconclusive = (flags & kInconclusiveListFlag) != 0;
+    message.list.missed_only_first_flows =
+        (flags & kMissedOnlyFirstFlowsFlag) != 0;
   }
   const bool is_known_kind =
       message.kind >= HopKind::kPacket && message.kind <= HopKind::kUnlisted;
--- a/packages/request/test/hop_message_test.cc
+++ b/packages/request/test/hop_message_test.cc
@@ -21,7 +21,8 @@
                   IPPROTO_TCP};
   message.acknowledgment = 0xfedcba98;
   message.load = {1700000000123, 4, 3, 2, 1999, 26000, true, true};
-  message.list = {7, 1, 3, true};
+  message.list = {7, 1, 3, true, true};
+  message.missed_only_first_flows = true;
   return message;
 }
 
@@ -41,6 +42,9 @@
       CHECK(read->flow == message.flow);
       CHECK(read->acknowledgment == message.acknowledgment);
     }
+    if (read->kind == HopKind::kInconclusive) {
+      CHECK(read->missed_only_first_flows);
+    }
     if (read->kind == HopKind::kLoad) {
       CHECK(read->load == message.load);
     }
