Sidecar: count what waited during a suspension or within an iteration as old

The review of the address lease showed four series in which evidence counted as newer than it is, or a start of another service was ignored for good.

- A heartbeat that waited while the machine was suspended granted a lease, and a packet renewed one, since the clock of both stood still meanwhile.
SendTimes now subtracts the suspension from the times that it returns.
- A heartbeat received after a pause within an iteration of the traffic loop counted as sent after the pause, until the next iteration noticed it.
- Three late heartbeats of an ended upstream dismissed its successor's without a limit while packets renewed the lease.
A dismissed start that sends three without one of the upstream in between withdraws the lease again.

--- a/packages/connection/include/kumquatvalve/connection/address_lease.h
+++ b/packages/connection/include/kumquatvalve/connection/address_lease.h
@@ -75,7 +75,7 @@
 /// two heartbeats of the upstream, or one and a packet of a flow that was
 /// admitted here. Once `kMessagesToDismiss` heartbeats of the upstream have
 /// arrived since, those of the other start have no effect while the lease is
-/// held. Not thread-safe.
+/// held, until as many arrive without one of the upstream. Not thread-safe.
 class AddressLease {
  public:
   explicit AddressLease(std::chrono::milliseconds duration)
@@ -113,6 +113,8 @@
     int upstream_messages = 0;
     std::optional<TimePoint> last_upstream_message_at;
     bool dismissed = false;
+    /// Messages since the upstream's last heartbeat.
+    int messages_since_upstream = 0;
   };
 
   /// A heartbeat of the upstream that needs another sign.
--- a/packages/connection/src/address_lease.cc
+++ b/packages/connection/src/address_lease.cc
@@ -90,9 +90,10 @@
 }
 
 void AddressLease::CountAgainstContender(TimePoint sent_after) {
-  if (!contender_ || contender_->dismissed) {
+  if (!contender_) {
     return;
   }
+  contender_->messages_since_upstream = 0;
   auto& last = contender_->last_upstream_message_at;
   if (!last || sent_after - *last >= kMinMessageSpacing) {
     last = sent_after;
@@ -107,7 +108,11 @@
   if (same && heartbeat.sequence <= contender_->sequence) {
     return;
   }
-  if (!same || (contender_->dismissed && State(now) != LeaseState::kHeld)) {
+  const bool ends_dismissal =
+      same && contender_->dismissed &&
+      (++contender_->messages_since_upstream >= kMessagesToDismiss ||
+       State(now) != LeaseState::kHeld);
+  if (!same || ends_dismissal) {
     contender_ =
         Contender{.service = heartbeat.service, .start = heartbeat.start};
   }
--- a/packages/connection/test/address_lease_test.cc
+++ b/packages/connection/test/address_lease_test.cc
@@ -287,6 +287,48 @@
   CHECK(f.State() == LeaseState::kHeld);
 }
 
+// Guards against a successor that is ignored for good: its packets renew the
+// lease of its predecessor, of which three late heartbeats arrived.
+TEST_CASE(
+    "address_lease: a start that was dismissed and is the only one to send "
+    "heartbeats withdraws the lease in the end") {
+  Fixture f;
+  f.Heartbeat();
+  f.Advance(milliseconds(2500));
+  uint64_t sequence = 0;
+  f.OtherService(++sequence);
+  for (int i = 0; i < AddressLease::kMessagesToDismiss; ++i) {
+    f.Advance(milliseconds(400));
+    f.Heartbeat();
+  }
+  bool held = true;
+  for (int i = 0; i < 50 && held; ++i) {
+    f.Advance(kInterval / 2);
+    f.Packet();
+    f.Advance(kInterval / 2);
+    f.Packet();
+    f.OtherService(++sequence);
+    held = f.State() == LeaseState::kHeld;
+  }
+  CHECK_FALSE(held);
+}
+
+// Guards against requests that the next upstream runs for one interval: its
+// predecessor was silent until the address could be used again, and one of its
+// heartbeats was delayed by a partition.
+TEST_CASE(
+    "address_lease: one late heartbeat does not restore a lease that had "
+    "lapsed before the other service's first heartbeat") {
+  Fixture f;
+  f.Heartbeat();
+  f.Advance(milliseconds(2500));
+  REQUIRE(f.State() == LeaseState::kLapsed);
+  f.OtherService(1);
+  f.Advance(milliseconds(400));
+  f.Heartbeat();
+  CHECK(f.State() == LeaseState::kContested);
+}
+
 // Any series of messages, then the upstream or its successor alone.
 TEST_CASE(
     "address_lease: property: an upstream gets its lease back and one of "
--- a/packages/connection/test/upstream_gate_test.cc
+++ b/packages/connection/test/upstream_gate_test.cc
@@ -599,7 +599,7 @@
   now += milliseconds(600);
   gate.OnTick(now);
   gate.OnIdentity({"patio", "i-1", kStartedAfterSidecar, 2, false}, now);
-  gate.OnHeartbeat(now, now);
+  gate.OnHeartbeat({"patio", {"i-1", kStartedAfterSidecar}, 1}, now, now);
   CHECK(sink.delivered == 1);
 }
 
--- a/packages/process/include/kumquatvalve/process/send_times.h
+++ b/packages/process/include/kumquatvalve/process/send_times.h
@@ -26,10 +26,12 @@
                                         std::chrono::nanoseconds since_boot);
 
   /// Returns a time at which a message had not been sent that another thread
-  /// received at `received_at`.
+  /// received at `received_at`. Its distance from now includes the time for
+  /// which the machine was suspended.
   TimePoint SentAfter(TimePoint received_at) const;
 
-  /// The beginning of the previous iteration; of this one in the first.
+  /// The beginning of the previous iteration, less the time for which the
+  /// machine was suspended since; of this one in the first.
   TimePoint previous() const { return previous_; }
 
   /// An iteration of the traffic loop takes about 50 ms at most.
@@ -41,6 +43,8 @@
   struct Pause {
     TimePoint paused_at;
     TimePoint resumed_at;
+    /// `paused_at`, less the time for which the machine was suspended since.
+    TimePoint sent_after;
   };
 
   TimePoint previous_;
--- a/packages/process/include/kumquatvalve/process/sidecar_node.h
+++ b/packages/process/include/kumquatvalve/process/sidecar_node.h
@@ -235,6 +235,7 @@
     }
     const auto suspended = send_times_.OnIteration(now_, TimeSinceBoot());
     if (suspended.count() != 0) {
+      upstream_socket_empty_at_ -= suspended;
       gate_.OnSuspension(suspended, now_);
     }
     ApplyPublishedUpdates();
--- a/packages/process/src/send_times.cc
+++ b/packages/process/src/send_times.cc
@@ -20,26 +20,33 @@
     suspended = std::chrono::duration_cast<milliseconds>(
         since_boot - *last_since_boot_ - (now - last_));
     suspended = suspended < kMinPause ? milliseconds(0) : suspended;
+    for (Pause& it : pauses_) {
+      it.sent_after -= suspended;
+    }
     if (now - last_ + suspended > kMinPause) {
       std::erase_if(pauses_, [&](const Pause& it) {
         return it.resumed_at + kBacklogTime <= last_;
       });
-      pauses_.push_back({.paused_at = last_, .resumed_at = now});
+      pauses_.push_back({.paused_at = last_,
+                         .resumed_at = now,
+                         .sent_after = last_ - suspended});
     }
   }
-  previous_ = last_since_boot_ ? last_ : now;
+  previous_ = last_since_boot_ ? last_ - suspended : now;
   last_ = now;
   last_since_boot_ = since_boot;
   return suspended;
 }
 
 SendTimes::TimePoint SendTimes::SentAfter(TimePoint received_at) const {
-  TimePoint sent_after = received_at;
+  // The process was paused within this iteration.
+  const bool late = received_at - last_ > kMinPause;
+  TimePoint sent_after = late ? last_ : received_at;
   for (const Pause& it : pauses_) {
     const bool during_or_after = received_at > it.paused_at &&
                                  received_at < it.resumed_at + kBacklogTime;
     if (during_or_after) {
-      sent_after = std::min(sent_after, it.paused_at);
+      sent_after = std::min(sent_after, it.sent_after);
     }
   }
   return sent_after;
