--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -93,7 +93,9 @@
   ///   accepted by this time.
   void OnUpstreamRecords(std::span<const version::UpstreamRecord> records,
                          TimePoint complete_at, TimePoint now) {
-    upstreams_.Replace(records, now);
+    for (const request::Endpoint& it : upstreams_.Replace(records, now)) {
+      locator_.OnServiceChanged(it);
+    }
     UpdateHelloSchedule();
     upstreams_received_ = true;
     SendHellos(now);
@@ -647,8 +649,8 @@
       if (view.IsHelloDue(
               now, hello_schedule_.Interval(view.same_zone(), unanswered))) {
         request::HopMessage message;
-        message.kind = view.listed() ? request::HopKind::kHello
-                                     : request::HopKind::kUnlisted;
+        message.kind = view.LacksRecord(now) ? request::HopKind::kUnlisted
+                                             : request::HopKind::kHello;
         message.service = view.tag();
         view.OnHelloSent(now);
         sink_->Send(sidecar, message, {});
