Sidecar: let flows wait when another writer's heartbeat contests the lease

Cause: while the lease was contested every first packet was returned at once. That is right when the upstream had been silent, since the next one is there. When the lease was held until then, the message is late or of another writer.

Change: flows without a better choice wait in that case as after a lapse.

--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -489,9 +489,8 @@
   }
 
   // A first packet while nothing shows that the upstream is behind its address.
-  // While it is only silent, its next heartbeat may arrive in time, so a flow
-  // that has no better choice waits for it. An upstream of another service
-  // stays.
+  // Its next heartbeat may arrive in time, so a flow that has no better choice
+  // waits for it, unless an upstream of another service probably replaced it.
   void OnFirstPacketWithoutLease(const request::Endpoint& entry,
                                  const request::HopMessage& message,
                                  const request::ParsedPacket& packet,
@@ -511,12 +510,11 @@
     }
   }
 
-  // Whether the upstream is only silent, and not for long. Called after
-  // `CheckLease`.
+  // Whether the upstream may show soon that it is there: it is not silent for
+  // long, and did not fall silent before another service's heartbeat.
   bool IsHeartbeatExpected(TimePoint now) const {
-    return reported_lease_ == LeaseState::kLapsed &&
-           !responsiveness_.unresponsive() &&
-           now - lapsed_at_.value_or(now) < lease_.duration();
+    return !contested_after_silence_ && !responsiveness_.unresponsive() &&
+           now - lease_lost_at_.value_or(now) < lease_.duration();
   }
 
   // Adds a first packet to the queue.
@@ -552,12 +550,15 @@
   // upstream that has none, and flows do not wait for one of another service.
   void CheckLease(TimePoint now) {
     const LeaseState state = lease_.State(now);
-    if (state != LeaseState::kLapsed) {
-      lapsed_at_.reset();
-    } else if (!lapsed_at_) {
-      lapsed_at_ = now;
-    }
-    if (std::exchange(reported_lease_, state) != state) {
+    if (state == LeaseState::kHeld) {
+      lease_lost_at_.reset();
+    } else if (!lease_lost_at_) {
+      lease_lost_at_ = now;
+    }
+    const LeaseState previous = std::exchange(reported_lease_, state);
+    if (previous != state) {
+      contested_after_silence_ =
+          state == LeaseState::kContested && previous == LeaseState::kLapsed;
       RecordVerdict(GateVerdict::kLease, {});
     }
     if (state != LeaseState::kHeld && !IsHeartbeatExpected(now)) {
@@ -985,8 +986,10 @@
   AddressLease lease_;
   /// The state of the lease at the last check.
   LeaseState reported_lease_ = LeaseState::kLapsed;
-  /// When a check first found the lease lapsed; empty while it has not.
-  std::optional<TimePoint> lapsed_at_;
+  /// When a check first found that the lease is not held; empty while it is.
+  std::optional<TimePoint> lease_lost_at_;
+  /// The lease had lapsed before it was contested.
+  bool contested_after_silence_ = false;
   /// See `SetPacketsSentAfter`.
   std::optional<TimePoint> packets_sent_after_;
   TimePoint next_sweep_at_;
