--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -299,6 +299,8 @@
   // the maximum delay with which it sees a changed load.
   static constexpr Milliseconds kReportInterval{100};
   static constexpr Milliseconds kSweepInterval{1000};
+  // How long a flow that may not wait for a slot waits for a heartbeat.
+  static constexpr Milliseconds kMaxHeartbeatWait{1200};
   static constexpr Milliseconds kOpeningFlowTtl{2000};
   static constexpr Milliseconds kEndedFlowTtl{4000};
   // Idle open flows may be removed: the next packet of the upstream adds them
@@ -377,8 +379,20 @@
   // between them.
   bool SawAllFlows() const {
     return ran_for_idle_ttl_ || identity_.started_after_sidecar ||
-           (identity_.is_new && stored_incarnation_ms_ &&
-            *stored_incarnation_ms_ != identity_.incarnation_ms);
+           (identity_.first_heartbeat_received && HasOtherRecord());
+  }
+
+  // Whether only flows of the first few heartbeat intervals of the current
+  // incarnation may be unknown to this process.
+  bool MissedOnlyFirstFlows() const {
+    return identity_.is_new && HasOtherRecord();
+  }
+
+  // Whether the store was read and no earlier process recorded the current
+  // incarnation there.
+  bool HasOtherRecord() const {
+    return stored_incarnation_ms_ &&
+           *stored_incarnation_ms_ != identity_.incarnation_ms;
   }
 
   void OnNewIncarnation(bool same_service) {
@@ -475,28 +489,34 @@
   }
 
   // A first packet while nothing shows that the upstream is behind its address.
-  // While it is only silent, its next heartbeat may arrive in time, so a flow
-  // that has no better choice waits for it. An upstream of another service
-  // stays.
+  // Its next heartbeat may arrive in time, so a flow that has no better choice
+  // waits for it, unless an upstream of another service probably replaced it.
   void OnFirstPacketWithoutLease(const request::Endpoint& entry,
                                  const request::HopMessage& message,
                                  const request::ParsedPacket& packet,
                                  TimePoint now) {
     SendReport(entry);
-    const bool heartbeat_expected =
-        reported_lease_ == LeaseState::kLapsed &&
-        !responsiveness_.unresponsive() &&
-        now - lapsed_at_.value_or(now) < lease_.duration();
-    if (!heartbeat_expected) {
+    if (!IsHeartbeatExpected(now)) {
       Return(entry, packet, request::ReturnReason::kUnresponsive);
       return;
     }
-    const bool may_wait = message.final_offer && message.max_wait.count() != 0;
-    if (!may_wait || !KeepWaiting(entry, message, packet, now)) {
+    // A bulk transfer that does not wait for a slot waits for the heartbeat.
+    request::HopMessage offer = message;
+    if (offer.max_wait.count() == 0) {
+      offer.max_wait = kMaxHeartbeatWait;
+    }
+    if (!offer.final_offer || !KeepWaiting(entry, offer, packet, now)) {
       Return(entry, packet, request::ReturnReason::kQueueFull);
     }
   }
 
+  // Whether the upstream may show soon that it is there: it is not silent for
+  // long, and did not fall silent before another service's heartbeat.
+  bool IsHeartbeatExpected(TimePoint now) const {
+    return !contested_after_silence_ && !responsiveness_.unresponsive() &&
+           now - lease_lost_at_.value_or(now) < lease_.duration();
+  }
+
   // Adds a first packet to the queue.
   // @return false when the queue is full.
   bool KeepWaiting(const request::Endpoint& entry,
@@ -530,16 +550,19 @@
   // upstream that has none, and flows do not wait for one of another service.
   void CheckLease(TimePoint now) {
     const LeaseState state = lease_.State(now);
-    if (state != LeaseState::kLapsed) {
-      lapsed_at_.reset();
-    } else if (!lapsed_at_) {
-      lapsed_at_ = now;
-    }
-    if (std::exchange(reported_lease_, state) != state) {
+    if (state == LeaseState::kHeld) {
+      lease_lost_at_.reset();
+    } else if (!lease_lost_at_) {
+      lease_lost_at_ = now;
+    }
+    const LeaseState previous = std::exchange(reported_lease_, state);
+    if (previous != state) {
+      contested_after_silence_ =
+          state == LeaseState::kContested && previous == LeaseState::kLapsed;
       RecordVerdict(GateVerdict::kLease, {});
-      if (state == LeaseState::kContested) {
-        ReturnWaiting(request::ReturnReason::kUnresponsive);
-      }
+    }
+    if (state != LeaseState::kHeld && !IsHeartbeatExpected(now)) {
+      ReturnWaiting(request::ReturnReason::kUnresponsive);
     }
     if (UpdateReportedResponsiveness(now)) {
       SendReports(now);
@@ -698,6 +721,8 @@
     reply.service = tag_;
     reply.list.round = query.list.round;
     reply.list.inconclusive = query.service == tag_ && !SawAllFlows();
+    reply.list.missed_only_first_flows =
+        reply.list.inconclusive && MissedOnlyFirstFlows();
     reply.list.parts = static_cast<uint16_t>(std::max<size_t>(
         1, (fingerprints.size() + request::kMaxFingerprintsPerDatagram - 1) /
                request::kMaxFingerprintsPerDatagram));
@@ -721,6 +746,8 @@
     reply.kind = kind;
     reply.service = tag_;
     reply.flow = flow;
+    reply.missed_only_first_flows =
+        kind == request::HopKind::kInconclusive && MissedOnlyFirstFlows();
     sink_->Send(entry, reply, {});
   }
 
@@ -959,8 +986,10 @@
   AddressLease lease_;
   /// The state of the lease at the last check.
   LeaseState reported_lease_ = LeaseState::kLapsed;
-  /// When a check first found the lease lapsed; empty while it has not.
-  std::optional<TimePoint> lapsed_at_;
+  /// When a check first found that the lease is not held; empty while it is.
+  std::optional<TimePoint> lease_lost_at_;
+  /// The lease had lapsed before it was contested.
+  bool contested_after_silence_ = false;
   /// See `SetPacketsSentAfter`.
   std::optional<TimePoint> packets_sent_after_;
   TimePoint next_sweep_at_;
--- a/packages/process/include/kumquatvalve/process/send_times.h
+++ b/packages/process/include/kumquatvalve/process/send_times.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <optional>
+#include <vector>
 
 namespace kumquatvalve::process {
 
@@ -25,10 +26,12 @@
                                         std::chrono::nanoseconds since_boot);
 
   /// Returns a time at which a message had not been sent that another thread
-  /// received at `received_at`.
+  /// received at `received_at`. Its distance from now includes the time for
+  /// which the machine was suspended.
   TimePoint SentAfter(TimePoint received_at) const;
 
-  /// The beginning of the previous iteration; of this one in the first.
+  /// The beginning of the previous iteration, less the time for which the
+  /// machine was suspended since; of this one in the first.
   TimePoint previous() const { return previous_; }
 
   /// An iteration of the traffic loop takes about 50 ms at most.
@@ -37,12 +40,19 @@
   static constexpr std::chrono::milliseconds kBacklogTime{300};
 
  private:
+  struct Pause {
+    TimePoint paused_at;
+    TimePoint resumed_at;
+    /// `paused_at`, less the time for which the machine was suspended since.
+    TimePoint sent_after;
+  };
+
   TimePoint previous_;
   TimePoint last_;
   std::optional<std::chrono::nanoseconds> last_since_boot_;
-  /// The last pause.
-  TimePoint paused_at_;
-  TimePoint resumed_at_;
+  /// The last pause, and earlier ones of which messages may still have been
+  /// waiting when it began.
+  std::vector<Pause> pauses_;
 };
 
 }  // namespace kumquatvalve::process
