--- a/packages/request/include/kumquatvalve/request/hop_message.h
+++ b/packages/request/include/kumquatvalve/request/hop_message.h
@@ -54,6 +54,9 @@
   /// Entry to sidecar: the store no longer has the sidecar's record; request
   /// for a load report.
   kUnlisted = 11,
+  /// Entry to sidecar: limits that the configuration sets for the upstream's
+  /// service. Earlier versions drop it as unreadable.
+  kServiceLimits = 12,
 };
 
 /// Why a sidecar returned a packet.
@@ -89,10 +92,21 @@
   uint32_t service_time_us = 0;
   bool draining = false;
   bool unresponsive = false;
+  /// First packets that the upstream may still get now, at most
+  /// `kMaxWarmUpAllowance`; empty when it is not warming up.
+  std::optional<uint8_t> warm_up_allowance;
 
   friend bool operator==(const UpstreamLoad&, const UpstreamLoad&) = default;
 };
 
+/// Largest allowance that a load report can carry; larger ones are reported as
+/// this one.
+inline constexpr uint8_t kMaxWarmUpAllowance = 254;
+
+/// Largest route priority that a packet can carry; larger ones are sent as this
+/// one.
+inline constexpr uint8_t kMaxHopPriority = 254;
+
 /// Identifies a query for all flows (`kList`), or one part of the reply
 /// (`kFlows`).
 struct FlowList {
@@ -144,6 +158,12 @@
   /// within the route's target latency; 0 when it is too late for that, or
   /// unknown. At most 65,535 ms on the wire, and left out there when 0.
   std::chrono::milliseconds target_remaining{0};
+  /// For `kPacket` that carries a first packet: the route's priority, 0 is the
+  /// most urgent; empty when unknown, as from earlier versions.
+  std::optional<uint8_t> priority;
+  /// For `kServiceLimits`: requests that a cold upstream of the service bears,
+  /// in tenths of a request a second; 0 when there is no limit.
+  uint16_t warm_up_per_second_tenths = 0;
   /// For `kLocate`, `kHeld`, `kNotHeld`, `kInconclusive`.
   FlowKey flow;
   /// For `kLocate`: the acknowledgment number of the caller's packet, which
--- a/packages/request/src/hop_message.cc
+++ b/packages/request/src/hop_message.cc
@@ -125,6 +125,38 @@
               : 0);
 }
 
+// Kinds other than `kReturned` have no reason. Their optional value travels in
+// its byte, plus one, since earlier versions ignore the byte and send 0 there.
+uint8_t EncodeReasonByte(const HopMessage& message) {
+  const auto encode = [](const std::optional<uint8_t>& value, uint8_t max) {
+    return static_cast<uint8_t>(value ? std::min(*value, max) + 1 : 0);
+  };
+  switch (message.kind) {
+    case HopKind::kPacket:
+      return encode(message.priority, kMaxHopPriority);
+    case HopKind::kLoad:
+      return encode(message.load.warm_up_allowance, kMaxWarmUpAllowance);
+    default:
+      return static_cast<uint8_t>(message.reason);
+  }
+}
+
+void DecodeReasonByte(uint8_t byte, HopMessage* message) {
+  const std::optional<uint8_t> value =
+      byte == 0 ? std::nullopt : std::optional(static_cast<uint8_t>(byte - 1));
+  switch (message->kind) {
+    case HopKind::kPacket:
+      message->priority = value;
+      break;
+    case HopKind::kLoad:
+      message->load.warm_up_allowance = value;
+      break;
+    default:
+      message->reason = static_cast<ReturnReason>(byte);
+      break;
+  }
+}
+
 }  // namespace
 
 ServiceTag ServiceTagOf(std::string_view name) {
@@ -155,7 +187,7 @@
   writer.Put(kLayout);
   writer.Put(static_cast<uint8_t>(message.kind));
   writer.Put(EncodeFlags(message));
-  writer.Put(static_cast<uint8_t>(message.reason));
+  writer.Put(EncodeReasonByte(message));
   writer.Put(message.service.value);
   if (CarriesMaxWait(message)) {
     writer.Put(message.max_wait);
@@ -176,6 +208,9 @@
     writer.Put(message.load.open_flows);
     writer.Put(message.load.service_time_us);
   }
+  if (message.kind == HopKind::kServiceLimits) {
+    writer.Put(message.warm_up_per_second_tenths);
+  }
   if (CarriesFlowList(message.kind)) {
     writer.Put(message.list.round);
     writer.Put(message.list.part);
@@ -221,7 +256,7 @@
   HopMessage message;
   message.kind = static_cast<HopKind>(reader.Get<uint8_t>());
   const auto flags = reader.Get<uint8_t>();
-  message.reason = static_cast<ReturnReason>(reader.Get<uint8_t>());
+  DecodeReasonByte(reader.Get<uint8_t>(), &message);
   message.service.value = reader.Get<uint64_t>();
   message.probe = (flags & kProbeFlag) != 0;
   message.final_offer = (flags & kFinalOfferFlag) != 0;
@@ -249,6 +284,9 @@
     message.load.draining = (flags & kDrainingFlag) != 0;
     message.load.unresponsive = (flags & kUnresponsiveFlag) != 0;
   }
+  if (message.kind == HopKind::kServiceLimits) {
+    message.warm_up_per_second_tenths = reader.Get<uint16_t>();
+  }
   if (CarriesFlowList(message.kind)) {
     message.list.round = reader.Get<uint32_t>();
     message.list.part = reader.Get<uint16_t>();
@@ -257,8 +295,8 @@
     message.list.missed_only_first_flows =
         (flags & kMissedOnlyFirstFlowsFlag) != 0;
   }
-  const bool is_known_kind =
-      message.kind >= HopKind::kPacket && message.kind <= HopKind::kUnlisted;
+  const bool is_known_kind = message.kind >= HopKind::kPacket &&
+                             message.kind <= HopKind::kServiceLimits;
   if (!reader.ok() || layout != kLayout || !is_known_kind ||
       (!MayPrecedeBytes(message.kind) && !reader.rest().empty())) {
     *failure = {ResultCode::kBadMessage, "a datagram of " +
--- a/packages/request/test/hop_message_test.cc
+++ b/packages/request/test/hop_message_test.cc
@@ -20,7 +20,8 @@
   message.flow = {Parse("100.64.0.7:40001"), Parse("198.18.0.1:443"),
                   IPPROTO_TCP};
   message.acknowledgment = 0xfedcba98;
-  message.load = {1700000000123, 4, 3, 2, 1999, 26000, true, true};
+  message.load = {1700000000123, 4, 3, 2, 1999, 26000, true, true, 17};
+  message.warm_up_per_second_tenths = 405;
   message.list = {7, 1, 3, true, true};
   message.missed_only_first_flows = true;
   return message;
@@ -28,7 +29,7 @@
 
 // Guards against fields that differ after encoding and decoding.
 TEST_CASE("hop_message: every kind is decoded as it was encoded") {
-  for (int i = 1; i <= 11; ++i) {
+  for (int i = 1; i <= 12; ++i) {
     const HopMessage message = MakeMessage(static_cast<HopKind>(i));
     const HopBuffer buf = EncodeHopMessage(message);
     std::span<const std::byte> packet;
@@ -48,6 +49,9 @@
     if (read->kind == HopKind::kLoad) {
       CHECK(read->load == message.load);
     }
+    if (read->kind == HopKind::kServiceLimits) {
+      CHECK(read->warm_up_per_second_tenths == 405);
+    }
     if (read->kind == HopKind::kList || read->kind == HopKind::kFlows) {
       CHECK(read->list == message.list);
     }
@@ -103,6 +107,30 @@
   CHECK(EncodeHopMessage(message).size == without + 2);
 }
 
+// Guards against a rolling upgrade in which one version reads a priority or an
+// allowance that the other one did not send.
+TEST_CASE(
+    "hop_message: a byte of 0 stands for an unknown priority or allowance") {
+  HopMessage packet_message = MakeMessage(HopKind::kPacket);
+  HopMessage load_message = MakeMessage(HopKind::kLoad);
+  load_message.load.warm_up_allowance.reset();
+  constexpr size_t kReasonByte = 3;
+  CHECK(EncodeHopMessage(packet_message).bytes[kReasonByte] == std::byte{0});
+  CHECK(EncodeHopMessage(load_message).bytes[kReasonByte] == std::byte{0});
+  packet_message.priority = 0;
+  load_message.load.warm_up_allowance = 255;
+  std::span<const std::byte> packet;
+  Failure failure;
+  const auto read = DecodeHopMessage(EncodeHopMessage(packet_message).span(),
+                                     &packet, &failure);
+  REQUIRE(read);
+  CHECK(read->priority == std::optional<uint8_t>(0));
+  const auto load = DecodeHopMessage(EncodeHopMessage(load_message).span(),
+                                     &packet, &failure);
+  REQUIRE(load);
+  CHECK(load->load.warm_up_allowance == kMaxWarmUpAllowance);
+}
+
 TEST_CASE("hop_message: fingerprints are decoded as they were encoded") {
   const std::vector<uint32_t> values = {0, 1, 0xfedcba98, 0xffffffff};
   CHECK(DecodeFingerprints(EncodeFingerprints(values)) == values);
