--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -171,6 +171,7 @@
       case request::HopKind::kHello:
       case request::HopKind::kList:
       case request::HopKind::kUnlisted:
+      case request::HopKind::kServiceLimits:
         return;
     }
   }
