--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -226,6 +226,10 @@
       const UpstreamView* view = router_->upstreams_.Find(sidecar);
       return view == nullptr || view->IsPresumedDead(now);
     }
+    bool IsSameZone(const request::Endpoint& sidecar) const {
+      const UpstreamView* view = router_->upstreams_.Find(sidecar);
+      return view != nullptr && view->same_zone();
+    }
     void SendQuery(const request::Endpoint& sidecar,
                    const request::HopMessage& message) {
       request::HopMessage tagged = message;
--- a/packages/connection/include/kumquatvalve/connection/flow_locator.h
+++ b/packages/connection/include/kumquatvalve/connection/flow_locator.h
@@ -16,6 +16,7 @@
 #include "kumquatvalve/connection/entry_decision.h"
 #include "kumquatvalve/connection/flow_listing.h"
 #include "kumquatvalve/connection/flow_search.h"
+#include "kumquatvalve/connection/probe_order.h"
 #include "kumquatvalve/request/flow_key.h"
 #include "kumquatvalve/request/hop_message.h"
 #include "kumquatvalve/request/packet.h"
@@ -41,6 +42,8 @@
   // Whether the routes in force have the service address.
   { host.IsRouted(endpoint) } -> std::same_as<bool>;
   { host.IsPresumedDead(endpoint, now) } -> std::same_as<bool>;
+  // Whether the sidecar is in the availability zone of this instance.
+  { host.IsSameZone(endpoint) } -> std::same_as<bool>;
   // Sends a message without a packet to a sidecar.
   host.SendQuery(endpoint, message);
   // Sends a packet of a flow to an upstream to find out whether it holds the
@@ -81,7 +84,7 @@
   /// has the flow's address, the search waits until the routes are at least as
   /// new as the packet, and the flow is reset if they still lack the address. A
   /// flow that is known to be lost is not searched for: its packets with
-  /// payload are answered with a reset, the others are dropped.
+  /// payload or a FIN are answered with a reset, the others are dropped.
   void LocateHolder(const request::ParsedPacket& packet, TimePoint now) {
     if (lost_flows_.contains(packet.flow)) {
       ResetLostFlow(packet);
@@ -357,7 +360,8 @@
       return;
     }
     for (const request::Endpoint& sidecar : queried) {
-      if (!search.RepliedNotHeld(sidecar)) {
+      if (!search.RepliedNotHeld(sidecar) &&
+          !search.IsProbeInFlight(sidecar, now)) {
         ApplyListResult(&search, *packet, sidecar, ProbingOf(sidecar, own),
                         now);
       }
@@ -378,15 +382,15 @@
         QuerySidecar(search, packet, sidecar, now, probing);
         break;
       case FlowListing::Result::kNotHeld:
-        search->MarkQueried(sidecar, now, probing);
+        search->MarkQueried(sidecar, listing_.started_at(), probing);
         search->OnNotHeld(sidecar);
         break;
       case FlowListing::Result::kInconclusive:
-        search->MarkQueried(sidecar, now, probing);
+        search->MarkQueried(sidecar, listing_.started_at(), probing);
         search->OnInconclusive(sidecar, FlowSearch::Missed::kAny);
         break;
       case FlowListing::Result::kInconclusiveForFirstFlows:
-        search->MarkQueried(sidecar, now, probing);
+        search->MarkQueried(sidecar, listing_.started_at(), probing);
         search->OnInconclusive(sidecar, FlowSearch::Missed::kFirstFlows);
         break;
     }
@@ -440,9 +444,7 @@
       case FlowSearch::Step::kWait:
         return;
       case FlowSearch::Step::kProbe:
-        for (const request::Endpoint& sidecar : search.TakeSidecarsToProbe()) {
-          host_->SendProbe(sidecar, search.packets().front(), now);
-        }
+        SendProbes(it->first, &search, now);
         return;
       case FlowSearch::Step::kNotHeld:
         OnHeldNowhere(it, now);
@@ -450,6 +452,21 @@
     }
   }
 
+  void SendProbes(const request::FlowKey& flow, FlowSearch* search,
+                  TimePoint now) {
+    const auto select = [&](std::span<const request::Endpoint> inconclusive,
+                            size_t batch) {
+      return NextToProbe(
+          flow, inconclusive,
+          [this](const request::Endpoint& it) { return host_->IsSameZone(it); },
+          batch);
+    };
+    for (const request::Endpoint& it :
+         search->TakeSidecarsToProbe(now, select)) {
+      host_->SendProbe(it, search->packets().front(), now);
+    }
+  }
+
   // Queries the sidecars of new upstreams and repeats queries without a reply,
   // since a datagram may have been lost. Ends searches that exceeded
   // `kSearchTimeout`.
@@ -524,10 +541,10 @@
   // have placed it at an upstream whose record has not arrived here yet, so the
   // flow is reset only when the records are at least as new as the search.
   void OnHeldNowhere(typename Searches::iterator it, TimePoint now) {
-    const auto bytes = FirstPacketWithPayload(it->second);
+    const auto bytes = FirstPacketToReset(it->second);
     if (bytes.empty()) {
-      // A packet without payload may belong to a flow that has ended, so there
-      // is nothing to reset.
+      // A packet that only acknowledges may belong to a flow that has ended, so
+      // there is nothing to reset.
       RecordVerdict(EntryVerdict::kNotLocated, it->first, std::nullopt);
       searches_.erase(it);
       return;
@@ -576,11 +593,19 @@
     }
   }
 
-  // Empty when the search has no packet with payload.
-  std::vector<std::byte> FirstPacketWithPayload(const FlowSearch& search) {
+  // Whether the caller of a lost flow retransmits the packet until it gets a
+  // response. Load pattern: after a power failure all callers close their idle
+  // flows; each end is retransmitted for up to 12 s and would start a search
+  // every time.
+  static bool IsRetransmitted(const request::ParsedPacket& packet) {
+    return packet.payload_size > 0 || packet.fin;
+  }
+
+  // Empty when the search has no such packet.
+  std::vector<std::byte> FirstPacketToReset(const FlowSearch& search) {
     for (const std::vector<std::byte>& bytes : search.packets()) {
       const auto packet = host_->Parse(bytes);
-      if (packet && packet->payload_size > 0) {
+      if (packet && IsRetransmitted(*packet)) {
         return bytes;
       }
     }
@@ -588,7 +613,7 @@
   }
 
   void ResetLostFlow(const request::ParsedPacket& packet) {
-    if (packet.payload_size == 0) {
+    if (!IsRetransmitted(packet)) {
       return;
     }
     host_->Reset(packet);
--- a/packages/connection/include/kumquatvalve/connection/flow_search.h
+++ b/packages/connection/include/kumquatvalve/connection/flow_search.h
@@ -84,14 +84,25 @@
   void OnInconclusive(const request::Endpoint& sidecar,
                       Missed missed = Missed::kAny);
 
-  /// What to do next. Missing replies delay probes by at most `kReplyTimeout`,
-  /// and those of sidecars whose upstreams must not be probed delay the result
-  /// by at most `kOtherServiceTimeout`.
+  /// What to do next. Missing replies delay probes, and replies to probes the
+  /// next batch of probes, by at most `kReplyTimeout`. Missing replies of
+  /// sidecars whose upstreams must not be probed delay the result by at most
+  /// `kOtherServiceTimeout`.
   Step NextStep(TimePoint now, const IsPresumedDead& is_dead) const;
 
-  /// Returns the sidecars whose replies were inconclusive and marks them as
-  /// probed; their replies are pending from now on.
-  std::vector<request::Endpoint> TakeSidecarsToProbe();
+  /// Chooses some of the sidecars whose replies were inconclusive.
+  /// @param batch number of earlier batches of this search.
+  using ProbeSelector = std::function<std::vector<request::Endpoint>(
+      std::span<const request::Endpoint> inconclusive, size_t batch)>;
+
+  /// Returns the next batch of sidecars whose replies were inconclusive and
+  /// marks them as probed; their replies are pending from now on.
+  std::vector<request::Endpoint> TakeSidecarsToProbe(
+      TimePoint now, const ProbeSelector& select);
+
+  /// Whether the sidecar's upstream was probed so recently that its reply may
+  /// be on its way.
+  bool IsProbeInFlight(const request::Endpoint& sidecar, TimePoint now) const;
 
   /// Whether a sidecar whose upstream must not be probed could not say that the
   /// flow is not held there: it may have missed any flow, or its reply is
@@ -108,7 +119,7 @@
   /// A sidecar whose reply is pending; empty when all have replied.
   std::optional<request::Endpoint> FirstWithoutReply() const;
   /// Whether `TakeSidecarsToProbe` has returned any sidecar.
-  bool probed() const { return probed_; }
+  bool probed() const { return probe_batches_ != 0; }
   TimePoint started_at() const { return started_at_; }
   /// When the last query was sent.
   TimePoint last_query_at() const { return last_query_at_; }
@@ -139,6 +150,7 @@
     Probing probing = Probing::kAllowed;
     TimePoint first_sent_at;
     Missed missed = Missed::kAny;
+    TimePoint probed_at{};
   };
 
   // Whether the search waits for the reply to a query or a probe.
@@ -146,7 +158,9 @@
 
   TimePoint started_at_;
   TimePoint last_query_at_;
-  bool probed_ = false;
+  /// Empty before the first batch of probes.
+  std::optional<TimePoint> last_probe_at_;
+  size_t probe_batches_ = 0;
   bool widened_ = false;
   std::map<request::Endpoint, Query> queries_;
   std::vector<std::vector<std::byte>> packets_;
--- a/packages/connection/src/flow_search.cc
+++ b/packages/connection/src/flow_search.cc
@@ -16,7 +16,7 @@
   const auto [it, inserted] = queries_.try_emplace(
       sidecar, Query{State::kQueried, probing, now, Missed::kAny});
   it->second.state = State::kQueried;
-  last_query_at_ = now;
+  last_query_at_ = std::max(last_query_at_, now);
 }
 
 void FlowSearch::OnNotHeld(const request::Endpoint& sidecar) {
@@ -85,7 +85,9 @@
                                                                            : 0;
   }
   if (inconclusive > 0) {
-    const bool timed_out = now - last_query_at_ >= kReplyTimeout;
+    const TimePoint last_sent_at =
+        std::max(last_query_at_, last_probe_at_.value_or(last_query_at_));
+    const bool timed_out = now - last_sent_at >= kReplyTimeout;
     return awaited == 0 || timed_out ? Step::kProbe : Step::kWait;
   }
   // An instance that is cut off from most sidecars cannot conclude anything.
@@ -93,16 +95,30 @@
   return awaited == 0 && enough_replies ? Step::kNotHeld : Step::kWait;
 }
 
-std::vector<request::Endpoint> FlowSearch::TakeSidecarsToProbe() {
-  std::vector<request::Endpoint> sidecars;
-  for (auto& [sidecar, query] : queries_) {
+std::vector<request::Endpoint> FlowSearch::TakeSidecarsToProbe(
+    TimePoint now, const ProbeSelector& select) {
+  std::vector<request::Endpoint> inconclusive;
+  for (const auto& [sidecar, query] : queries_) {
     if (query.state == State::kInconclusive) {
-      query.state = State::kProbed;
-      sidecars.push_back(sidecar);
+      inconclusive.push_back(sidecar);
     }
   }
-  probed_ = probed_ || !sidecars.empty();
-  return sidecars;
+  std::vector<request::Endpoint> chosen = select(inconclusive, probe_batches_);
+  for (const request::Endpoint& it : chosen) {
+    Query& query = queries_.at(it);
+    query.state = State::kProbed;
+    query.probed_at = now;
+  }
+  ++probe_batches_;
+  last_probe_at_ = now;
+  return chosen;
+}
+
+bool FlowSearch::IsProbeInFlight(const request::Endpoint& sidecar,
+                                 TimePoint now) const {
+  const auto it = queries_.find(sidecar);
+  return it != queries_.end() && it->second.state == State::kProbed &&
+         now - it->second.probed_at < kReplyTimeout;
 }
 
 bool FlowSearch::RepliedNotHeld(const request::Endpoint& sidecar) const {
--- a/packages/connection/test/flow_search_test.cc
+++ b/packages/connection/test/flow_search_test.cc
@@ -29,6 +29,13 @@
         now, [this](const request::Endpoint& it) { return dead.contains(it); });
   }
 
+  std::vector<request::Endpoint> TakeSidecarsToProbe() {
+    return search.TakeSidecarsToProbe(
+        now, [](std::span<const request::Endpoint> inconclusive, size_t) {
+          return std::vector(inconclusive.begin(), inconclusive.end());
+        });
+  }
+
   bool HasUncertainReply() const {
     return search.HasUncertainReply(
         [this](const request::Endpoint& it) { return dead.contains(it); });
@@ -83,7 +90,7 @@
   f.search.AllowProbing(Sidecar(2));
   CHECK_FALSE(f.HasUncertainReply());
   CHECK(f.NextStep() == Step::kProbe);
-  CHECK(f.search.TakeSidecarsToProbe() == std::vector{Sidecar(2)});
+  CHECK(f.TakeSidecarsToProbe() == std::vector{Sidecar(2)});
 }
 
 // Guards against lost flows that are not reset for a minute after a power
@@ -101,7 +108,7 @@
   // An upstream of a service of the address may hold one of its first flows.
   f.search.AllowProbing(Sidecar(2));
   CHECK(f.NextStep() == Step::kProbe);
-  CHECK(f.search.TakeSidecarsToProbe() == std::vector{Sidecar(2)});
+  CHECK(f.TakeSidecarsToProbe() == std::vector{Sidecar(2)});
 }
 
 TEST_CASE("flow_search: a missing reply of another service is uncertain") {
@@ -146,8 +153,7 @@
   CHECK(f.NextStep() == Step::kWait);
   f.search.OnNotHeld(Sidecar(3));
   CHECK(f.NextStep() == Step::kProbe);
-  CHECK(f.search.TakeSidecarsToProbe() ==
-        std::vector<request::Endpoint>{Sidecar(1)});
+  CHECK(f.TakeSidecarsToProbe() == std::vector<request::Endpoint>{Sidecar(1)});
   CHECK(f.search.probed());
   CHECK(f.NextStep() == Step::kWait);
   f.search.OnNotHeld(Sidecar(1));
