--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -596,7 +596,7 @@
     const request::FlowKey& key = reply.flow;
     // Without a search the reply is late: the flow was found meanwhile, or its
     // caller has opened another one from the same port.
-    const auto search = locator_.TakeSearch(key);
+    const auto search = locator_.TakeSearch(key, from);
     if (!search) {
       return;
     }
--- a/packages/connection/include/kumquatvalve/connection/flow_locator.h
+++ b/packages/connection/include/kumquatvalve/connection/flow_locator.h
@@ -15,8 +15,10 @@
 #include "kumquatvalve/connection/admission_policy.h"
 #include "kumquatvalve/connection/entry_decision.h"
 #include "kumquatvalve/connection/flow_listing.h"
+#include "kumquatvalve/connection/flow_queue.h"
 #include "kumquatvalve/connection/flow_search.h"
 #include "kumquatvalve/connection/probe_order.h"
+#include "kumquatvalve/connection/probe_window.h"
 #include "kumquatvalve/request/flow_key.h"
 #include "kumquatvalve/request/hop_message.h"
 #include "kumquatvalve/request/packet.h"
@@ -112,9 +114,12 @@
   }
 
   /// Ends the search for a flow whose holder is known now.
+  /// @param holder the sidecar that replied.
   /// @return the search with the kept packets, which the caller has to forward;
   ///   empty when there is no search for the flow.
-  std::optional<FlowSearch> TakeSearch(const request::FlowKey& key) {
+  std::optional<FlowSearch> TakeSearch(const request::FlowKey& key,
+                                       const request::Endpoint& holder) {
+    probe_window_.OnReply(key, holder);
     const auto it = searches_.find(key);
     if (it == searches_.end()) {
       return std::nullopt;
@@ -135,11 +140,13 @@
   /// one.
   void OnNotHeld(const request::Endpoint& from, const request::FlowKey& key,
                  TimePoint now) {
+    probe_window_.OnReply(key, from);
     const auto it = searches_.find(key);
     if (it != searches_.end()) {
       it->second.OnNotHeld(from);
       ContinueSearch(it, now);
     }
+    SendDueProbes(now);
   }
 
   /// A sidecar replied that it cannot know whether its upstream holds the flow.
@@ -202,6 +209,7 @@
   /// Runs timeouts and sends due queries.
   void OnTick(TimePoint now) {
     FinishRoundIfOver(now);
+    SendDueProbes(now);
     if (now >= next_check_at_) {
       next_check_at_ = now + FlowSearch::kReplyTimeout;
       ContinueSearches(now);
@@ -444,7 +452,8 @@
       case FlowSearch::Step::kWait:
         return;
       case FlowSearch::Step::kProbe:
-        SendProbes(it->first, &search, now);
+        probes_due_.Add(it->first);
+        SendDueProbes(now);
         return;
       case FlowSearch::Step::kNotHeld:
         OnHeldNowhere(it, now);
@@ -452,19 +461,43 @@
     }
   }
 
-  void SendProbes(const request::FlowKey& flow, FlowSearch* search,
-                  TimePoint now) {
+  // Sends probes of the searches that are due for some, in their order, as far
+  // as the window allows.
+  void SendDueProbes(TimePoint now) {
+    for (size_t n = probe_window_.Available(now); n > 0;) {
+      const auto flow = probes_due_.Take();
+      if (!flow) {
+        return;
+      }
+      const auto it = searches_.find(*flow);
+      if (it == searches_.end() || !host_->IsRouted(flow->service) ||
+          it->second.NextStep(now, DeathCheck(now)) !=
+              FlowSearch::Step::kProbe) {
+        continue;
+      }
+      n -= SendProbes(*flow, &it->second, n, now);
+    }
+  }
+
+  // Sends the next batch of probes of a search, at most `max_probes`.
+  // @return the number of probes.
+  size_t SendProbes(const request::FlowKey& flow, FlowSearch* search,
+                    size_t max_probes, TimePoint now) {
     const auto select = [&](std::span<const request::Endpoint> inconclusive,
                             size_t batch) {
-      return NextToProbe(
+      auto chosen = NextToProbe(
           flow, inconclusive,
           [this](const request::Endpoint& it) { return host_->IsSameZone(it); },
           batch);
+      chosen.resize(std::min(chosen.size(), max_probes));
+      return chosen;
     };
-    for (const request::Endpoint& it :
-         search->TakeSidecarsToProbe(now, select)) {
+    const auto sidecars = search->TakeSidecarsToProbe(now, select);
+    for (const request::Endpoint& it : sidecars) {
+      probe_window_.OnSent(flow, it, now);
       host_->SendProbe(it, search->packets().front(), now);
     }
+    return sidecars.size();
   }
 
   // Queries the sidecars of new upstreams and repeats queries without a reply,
@@ -472,11 +505,10 @@
   // `kSearchTimeout`.
   void ContinueSearches(TimePoint now) {
     const bool use_lists = searches_.size() > kMaxSearchesByQuery;
-    bool any_routed = false;
+    bool reply_missing = false;
     for (auto it = searches_.begin(); it != searches_.end();) {
       const auto current = it++;
       FlowSearch& search = current->second;
-      any_routed = any_routed || host_->IsRouted(current->first.service);
       if (now - search.started_at() >= kSearchTimeout) {
         RecordVerdict(EntryVerdict::kNotLocated, current->first,
                       search.FirstWithoutReply());
@@ -487,11 +519,16 @@
       const request::FlowKey key = current->first;
       ContinueSearch(current, now);
       const auto remaining = searches_.find(key);
-      if (!use_lists && remaining != searches_.end()) {
+      if (remaining == searches_.end()) {
+        continue;
+      }
+      if (!use_lists) {
         RepeatQueries(&remaining->second, now);
+      } else if (host_->IsRouted(key.service)) {
+        reply_missing = reply_missing || remaining->second.AwaitsAnyReply();
       }
     }
-    if (use_lists && any_routed) {
+    if (use_lists && reply_missing) {
       RequestLists(now);
     }
   }
@@ -651,6 +688,9 @@
 
   H* host_;
   Searches searches_;
+  ProbeWindow probe_window_;
+  /// Flows with sidecars to probe.
+  FlowQueue probes_due_;
   FlowListing listing_;
   bool list_pending_ = false;
   TimePoint next_list_at_;
--- a/packages/connection/include/kumquatvalve/connection/flow_search.h
+++ b/packages/connection/include/kumquatvalve/connection/flow_search.h
@@ -116,6 +116,8 @@
   bool RepliedNotHeld(const request::Endpoint& sidecar) const;
   /// Whether the reply to a query or a probe is pending.
   bool AwaitsReply(const request::Endpoint& sidecar) const;
+  /// Whether the reply to any query or probe is pending.
+  bool AwaitsAnyReply() const { return FirstWithoutReply().has_value(); }
   /// A sidecar whose reply is pending; empty when all have replied.
   std::optional<request::Endpoint> FirstWithoutReply() const;
   /// Whether `TakeSidecarsToProbe` has returned any sidecar.
--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -248,7 +248,12 @@
         sink_->Reset(packet);
       }
     }
-    SendReports(now);
+    // A rejected probe changes no load. Load pattern: after a power failure
+    // every flow is searched for with probes; a report of each rejection to all
+    // entry instances exceeds the links of small ones.
+    if (!flow.probed_by) {
+      SendReports(now);
+    }
   }
 
   /// Runs timeouts and sends due load reports; has to be called at least every
