--- a/packages/connection/include/kumquatvalve/connection/flow_search.h
+++ b/packages/connection/include/kumquatvalve/connection/flow_search.h
@@ -160,8 +160,6 @@
 
   TimePoint started_at_;
   TimePoint last_query_at_;
-  /// Empty before the first batch of probes.
-  std::optional<TimePoint> last_probe_at_;
   size_t probe_batches_ = 0;
   bool widened_ = false;
   std::map<request::Endpoint, Query> queries_;
--- a/packages/connection/src/flow_search.cc
+++ b/packages/connection/src/flow_search.cc
@@ -77,18 +77,21 @@
   size_t awaited = 0;
   size_t inconclusive = 0;
   size_t not_held = 0;
+  bool reply_may_arrive = false;
   for (const auto& [sidecar, query] : queries_) {
-    awaited += IsAwaited(query, now) && !is_dead(sidecar) ? 1 : 0;
+    const bool is_awaited = IsAwaited(query, now) && !is_dead(sidecar);
+    const TimePoint sent_at =
+        query.state == State::kProbed ? query.probed_at : query.first_sent_at;
+    awaited += is_awaited ? 1 : 0;
+    reply_may_arrive =
+        reply_may_arrive || (is_awaited && now - sent_at < kReplyTimeout);
     inconclusive += query.state == State::kInconclusive ? 1 : 0;
     not_held +=
         query.state == State::kNotHeld || query.state == State::kUncertain ? 1
                                                                            : 0;
   }
   if (inconclusive > 0) {
-    const TimePoint last_sent_at =
-        std::max(last_query_at_, last_probe_at_.value_or(last_query_at_));
-    const bool timed_out = now - last_sent_at >= kReplyTimeout;
-    return awaited == 0 || timed_out ? Step::kProbe : Step::kWait;
+    return reply_may_arrive ? Step::kWait : Step::kProbe;
   }
   // An instance that is cut off from most sidecars cannot conclude anything.
   const bool enough_replies = not_held > 0 && 2 * not_held >= queries_.size();
@@ -110,7 +113,6 @@
     query.probed_at = now;
   }
   ++probe_batches_;
-  last_probe_at_ = now;
   return chosen;
 }
 
