--- a/packages/connection/include/kumquatvalve/connection/entry_decision.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_decision.h
@@ -71,6 +71,9 @@
   /// Store revision of the routes in force.
   uint64_t route_revision = 0;
   request::ReturnReason reason = request::ReturnReason::kNone;
+  /// The flow was refused while the only upstreams left for it are in evacuated
+  /// zones.
+  bool zone_evacuated = false;
 };
 
 /// The effects of an entry router, implemented by the process around it.
--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -37,6 +37,9 @@
   size_t max_flows = 100000;
   /// Seed of the random choices among upstreams; must not be 0.
   uint64_t seed = 1;
+  /// Zones can be evacuated: new flows are dropped until `OnEvacuatedZones` was
+  /// called, since until then any zone may be evacuated.
+  bool awaits_evacuated_zones = false;
 };
 
 /// Routes callers' packets at an entry instance: places new flows at upstreams,
@@ -102,6 +105,13 @@
     locator_.OnRecords(complete_at, now);
   }
 
+  /// Replaces the zones whose upstreams get no new flows. Flows that were
+  /// offered before stay where they are.
+  void OnEvacuatedZones(EvacuatedZones zones) {
+    upstreams_.SetEvacuatedZones(std::move(zones));
+    evacuated_zones_received_ = true;
+  }
+
   /// A caller's packet that arrived from the routers. Dropped before the first
   /// routes and upstream records.
   void OnCallerPacket(const request::ParsedPacket& packet, TimePoint now) {
@@ -115,6 +125,9 @@
     }
     const auto it = flows_.find(packet.flow);
     if (packet.IsFirst()) {
+      if (config_.awaits_evacuated_zones && !evacuated_zones_received_) {
+        return;
+      }
       it == flows_.end() || it->second.caller_isn != packet.sequence
           ? OnNewFlow(packet, *route, now)
           : OnRetransmittedFirstPacket(&it->second, packet, *route, now);
@@ -458,6 +471,7 @@
       flows_.erase(packet.flow);
       sink_->Reset(packet);
     }
+    decision.zone_evacuated = decision.zone_evacuated && all_returned;
     decision.route_revision = routes_->revision;
     sink_->RecordDecision(decision);
   }
@@ -504,9 +518,12 @@
         ChooseUpstream(candidates, settings, NextRandom());
     decision->expected_wait = placement.expected_wait;
     if (!placement.chosen) {
+      decision->zone_evacuated =
+          views.empty() &&
+          upstreams_.HasEvacuatedCandidate(share->tag, excluded, now);
       if (!views.empty()) {
         decision->verdict = EntryVerdict::kOverloaded;
-      } else if (excluded.empty()) {
+      } else if (excluded.empty() && !decision->zone_evacuated) {
         RenewRecordWatch(now);
       }
       return nullptr;
@@ -704,6 +721,7 @@
   LocatorAdapter host_{this};
   FlowLocator<LocatorAdapter> locator_{&host_};
   bool upstreams_received_ = false;
+  bool evacuated_zones_received_ = false;
   TimePoint next_sweep_at_;
   TimePoint next_watch_renewal_at_;
 };
--- a/packages/connection/include/kumquatvalve/connection/upstream_set.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_set.h
@@ -7,6 +7,7 @@
 
 #include "kumquatvalve/connection/admission_policy.h"
 #include "kumquatvalve/connection/upstream_view.h"
+#include "kumquatvalve/connection/zone_evacuation.h"
 #include "kumquatvalve/request/hop_message.h"
 #include "kumquatvalve/request/ids.h"
 #include "kumquatvalve/version/route_map.h"
@@ -36,12 +37,25 @@
   UpstreamView* Find(const request::Endpoint& sidecar);
   const UpstreamView* Find(const request::Endpoint& sidecar) const;
 
+  /// Replaces the evacuated zones.
+  void SetEvacuatedZones(EvacuatedZones zones);
+  const EvacuatedZones& evacuated_zones() const { return evacuated_zones_; }
+  /// Whether the upstream's zone is evacuated, so that it gets no new flows.
+  bool IsEvacuated(const UpstreamView& view) const;
+
   /// The upstreams of a service that accept new flows and are not excluded;
-  /// when there are none, those that accept them as a last resort.
+  /// when there are none, those that accept them as a last resort. Upstreams of
+  /// evacuated zones are left out in both cases.
   std::vector<UpstreamView*> Candidates(
       request::ServiceTag service, std::span<const request::Endpoint> excluded,
       TimePoint now);
 
+  /// Whether an upstream of the service would accept new flows as a last resort
+  /// if its zone were not evacuated.
+  bool HasEvacuatedCandidate(request::ServiceTag service,
+                             std::span<const request::Endpoint> excluded,
+                             TimePoint now) const;
+
   /// The sidecars of all upstreams of these services, also of those that accept
   /// no new flows.
   std::vector<request::Endpoint> SidecarsForServices(
@@ -55,6 +69,7 @@
  private:
   request::AvailabilityZone zone_;
   std::map<request::Endpoint, UpstreamView> views_;
+  EvacuatedZones evacuated_zones_;
 };
 
 }  // namespace kumquatvalve::connection
--- a/packages/connection/src/upstream_set.cc
+++ b/packages/connection/src/upstream_set.cc
@@ -57,6 +57,15 @@
   return it == views_.end() ? nullptr : &it->second;
 }
 
+void UpstreamSet::SetEvacuatedZones(EvacuatedZones zones) {
+  evacuated_zones_ = std::move(zones);
+}
+
+bool UpstreamSet::IsEvacuated(const UpstreamView& view) const {
+  return !evacuated_zones_.empty() &&
+         evacuated_zones_.contains(view.record().zone);
+}
+
 std::vector<UpstreamView*> UpstreamSet::Candidates(
     request::ServiceTag service, std::span<const request::Endpoint> excluded,
     TimePoint now) {
@@ -64,7 +73,7 @@
   for (const bool last_resort : {false, true}) {
     for (auto& [sidecar, view] : views_) {
       if (view.tag() == service && !Contains(excluded, sidecar) &&
-          view.AcceptsNewFlows(now, last_resort)) {
+          view.AcceptsNewFlows(now, last_resort) && !IsEvacuated(view)) {
         candidates.push_back(&view);
       }
     }
@@ -75,6 +84,16 @@
   return candidates;
 }
 
+bool UpstreamSet::HasEvacuatedCandidate(
+    request::ServiceTag service, std::span<const request::Endpoint> excluded,
+    TimePoint now) const {
+  return std::any_of(views_.begin(), views_.end(), [&](const auto& it) {
+    const UpstreamView& view = it.second;
+    return view.tag() == service && IsEvacuated(view) &&
+           !Contains(excluded, it.first) && view.AcceptsNewFlows(now, true);
+  });
+}
+
 std::vector<request::Endpoint> UpstreamSet::SidecarsForServices(
     std::span<const request::ServiceTag> services) const {
   std::vector<request::Endpoint> sidecars;
--- a/packages/connection/test/entry_router_test.cc
+++ b/packages/connection/test/entry_router_test.cc
@@ -1346,5 +1346,56 @@
   CHECK(f.sink.last_decision.route_revision == 1);
 }
 
+// Guards against callers of a service that runs in the evacuated zone only, who
+// would wait until their time limit or get a false refusal, and against moved
+// flows.
+TEST_CASE(
+    "entry_router: an evacuation refuses new flows at once and leaves offered "
+    "flows where they are") {
+  Fixture today(Routes(1), {Record(1, "c")});
+  Fixture f(Routes(1), {Record(1, "c")});
+  f.ReceiveSyn(1);
+  f.ReceiveSyn(2);
+  f.ReceiveData(2);
+  f.router.OnEvacuatedZones({{request::AvailabilityZone("c"), f.now}});
+  const size_t before = f.sink.SentOfKind(HopKind::kPacket).size();
+  f.ReceiveSyn(1);
+  f.ReceiveData(2);
+  CHECK(f.sink.SentOfKind(HopKind::kPacket).size() == before + 2);
+  CHECK(f.sink.resets.empty());
+  f.ReceiveSyn(3);
+  today.ReceiveSyn(3);
+  CHECK(today.sink.resets.empty());
+  CHECK(today.WasSent(HopKind::kPacket, 1));
+  REQUIRE(f.sink.resets.size() == 1);
+  CHECK(f.sink.resets[0].caller.port == 3);
+  CHECK(f.sink.verdicts.back() == EntryVerdict::kNoUpstream);
+  CHECK(f.sink.last_decision.zone_evacuated);
+  CHECK(f.sink.SentOfKind(HopKind::kPacket).size() == before + 2);
+  // A call to the store for upstreams that are known would be wasted.
+  CHECK(f.sink.watch_renewals == 0);
+}
+
+// Guards against new flows in an evacuated zone from an instance that restarted
+// and has not read the evacuations yet.
+TEST_CASE("entry_router: new flows wait for the evacuated zones") {
+  Fixture today;
+  Sink sink;
+  EntryRouter<Sink> router{{request::AvailabilityZone("a"), 1000, 1, true},
+                           &sink};
+  router.OnRoutes(Routes(1), today.now);
+  router.OnUpstreamRecords(today.records, today.now, today.now);
+  auto packet = today.MakePacket(1);
+  packet.syn = true;
+  today.ReceivePacket(packet);
+  CHECK(today.sink.SentOfKind(HopKind::kPacket).size() == 1);
+  router.OnCallerPacket(packet, today.now);
+  CHECK(sink.SentOfKind(HopKind::kPacket).empty());
+  CHECK(sink.resets.empty());
+  router.OnEvacuatedZones({});
+  router.OnCallerPacket(packet, today.now);
+  CHECK(sink.SentOfKind(HopKind::kPacket).size() == 1);
+}
+
 }  // namespace
 }  // namespace kumquatvalve::connection
--- a/packages/process/include/kumquatvalve/process/entry_node.h
+++ b/packages/process/include/kumquatvalve/process/entry_node.h
@@ -105,6 +105,9 @@
   /// Logs and counts a decision of the router.
   void RecordDecision(const connection::EntryDecision& decision) {
     log_.LogEntryDecision(decision, now_);
+    if (decision.zone_evacuated) {
+      metrics_.OnEvacuationRefusal();
+    }
     if (decision.verdict == connection::EntryVerdict::kPlaced) {
       metrics_.OnPlacement(decision.expected_wait, decision.report_age);
     }
@@ -146,7 +149,8 @@
         output_(settings, logger, std::move(requests)),
         guard_("traffic", logger,
                [this] { output_.metrics().OnUnexpectedError(); }),
-        router_({settings.availability_zone, kMaxFlows, RandomSeed(settings)},
+        router_({settings.availability_zone, kMaxFlows, RandomSeed(settings),
+                 settings.evacuation_apply_limit.has_value()},
                 &output_) {}
 
   /// Binds the sockets; to be called before `Run`.
@@ -169,6 +173,15 @@
     upstreams_.Put({std::move(records), complete_at});
   }
 
+  /// Hands the evacuated zones to the traffic thread.
+  /// @param change difference from the zones that were published before.
+  void PublishEvacuatedZones(connection::EvacuatedZones zones,
+                             const connection::EvacuationChange& change) {
+    output_.metrics().OnEvacuationChange(change, zones.size());
+    has_evacuated_zones_ = true;
+    evacuated_zones_.Put(std::move(zones));
+  }
+
   /// Sets whether the store responded to the last call for upstream records.
   void PublishStoreState(bool answers) { store_answers_ = answers; }
   bool store_answers() const { return store_answers_; }
@@ -191,9 +204,13 @@
     routes_complete_at_.Put(complete_at);
   }
 
-  /// Whether the instance can route packets: it has routes and upstream records
-  /// and is not stopping.
-  bool Ready() const { return has_routes_ && has_upstreams_ && !stopping_; }
+  /// Whether the instance can route packets: it has routes and upstream
+  /// records, knows the evacuated zones if it has to, and is not stopping.
+  bool Ready() const {
+    return has_routes_ && has_upstreams_ &&
+           (has_evacuated_zones_ || !settings_.evacuation_apply_limit) &&
+           !stopping_;
+  }
 
   /// Makes the instance not ready and lets `Run` return once the fabric's
   /// routers send it no more packets, or the stop timeout is almost over.
@@ -306,6 +323,9 @@
       status["route_version"] = router_.routes()->version;
       status["routes"] = router_.routes()->routes.size();
     }
+    if (settings_.evacuation_apply_limit) {
+      status["evacuated_zones"] = EvacuatedZonesJson();
+    }
     status["upstreams"] = nlohmann::ordered_json::array();
     for (const auto& [sidecar, view] : router_.upstreams().views()) {
       status["upstreams"].push_back(
@@ -313,7 +333,8 @@
            {"upstream", view.record().instance},
            {"service", view.record().service.text()},
            {"zone", view.record().zone.text()},
-           {"may_take", view.AcceptsNewFlows(now_, false)},
+           {"may_take", view.AcceptsNewFlows(now_, false) &&
+                            !router_.upstreams().IsEvacuated(view)},
            {"draining", view.record().draining || view.load().draining},
            {"in_progress", view.load().in_progress},
            {"slots", view.record().slots},
@@ -323,6 +344,15 @@
     return status.dump();
   }
 
+  nlohmann::ordered_json EvacuatedZonesJson() const {
+    auto zones = nlohmann::ordered_json::array();
+    for (const auto& [zone, since] : router_.upstreams().evacuated_zones()) {
+      const auto age = std::chrono::duration_cast<Milliseconds>(now_ - since);
+      zones.push_back({{"zone", zone.text()}, {"age_ms", age.count()}});
+    }
+    return zones;
+  }
+
   void ApplyPublishedUpdates() {
     router_.SetPeersAsked(peers_asked_);
     // Taken before the routes, which were published first.
@@ -338,6 +368,9 @@
         router_.OnAddressHistory(it, now_);
       }
     }
+    if (auto zones = evacuated_zones_.Take()) {
+      router_.OnEvacuatedZones(std::move(*zones));
+    }
     if (const auto it = upstreams_.Take()) {
       router_.OnUpstreamRecords(it->records, it->complete_at, now_);
     }
@@ -387,8 +420,10 @@
   Mailbox<Clock::time_point> routes_complete_at_;
   Mailbox<std::vector<connection::AddressHistoryReport>> address_histories_;
   Mailbox<Upstreams> upstreams_;
+  Mailbox<connection::EvacuatedZones> evacuated_zones_;
   std::atomic<bool> has_routes_{false};
   std::atomic<bool> has_upstreams_{false};
+  std::atomic<bool> has_evacuated_zones_{false};
   std::atomic<bool> store_answers_{true};
   std::atomic<bool> peers_asked_{true};
   std::atomic<bool> stopping_{false};
--- a/packages/process/include/kumquatvalve/process/log_event.h
+++ b/packages/process/include/kumquatvalve/process/log_event.h
@@ -30,6 +30,8 @@
   kTableWriteFailed = 1302,
   kTableUnreadable = 1303,
   kRecordRemoved = 1304,
+  kZoneEvacuated = 1305,
+  kEvacuationEnded = 1306,
   kStoreUnavailable = 1401,
   kStoreAvailable = 1402,
   kPeerTold = 1403,
--- a/packages/process/include/kumquatvalve/process/node_metrics.h
+++ b/packages/process/include/kumquatvalve/process/node_metrics.h
@@ -13,6 +13,7 @@
 #include <string_view>
 #include <vector>
 
+#include "kumquatvalve/connection/zone_evacuation.h"
 #include "kumquatvalve/process/decision_log.h"
 
 namespace kumquatvalve::process {
@@ -42,6 +43,13 @@
   /// Counts an exception that a thread or an HTTP handler caught.
   void OnUnexpectedError() { unexpected_errors_->Increment(); }
 
+  /// Records a change of the evacuated zones.
+  /// @param zones number of zones that are evacuated now.
+  void OnEvacuationChange(const connection::EvacuationChange& change,
+                          size_t zones);
+  /// Counts a flow that was refused because of evacuated zones.
+  void OnEvacuationRefusal() { evacuation_refusals_->Increment(); }
+
   void SetFlows(size_t n) { flows_->Set(static_cast<double>(n)); }
   void SetInProgress(size_t n) { in_progress_->Set(static_cast<double>(n)); }
   void SetRouteRevision(uint64_t n) {
@@ -59,6 +67,10 @@
   prometheus::Histogram* report_age_;
   prometheus::Counter* unreadable_;
   prometheus::Counter* unexpected_errors_;
+  prometheus::Counter* evacuations_begun_;
+  prometheus::Counter* evacuations_ended_;
+  prometheus::Counter* evacuation_refusals_;
+  prometheus::Gauge* evacuated_zones_;
   prometheus::Gauge* flows_;
   prometheus::Gauge* in_progress_;
   prometheus::Gauge* route_revision_;
--- a/packages/process/include/kumquatvalve/process/peer_snapshot.h
+++ b/packages/process/include/kumquatvalve/process/peer_snapshot.h
@@ -6,18 +6,22 @@
 #include <string_view>
 #include <vector>
 
+#include "kumquatvalve/connection/zone_evacuation.h"
 #include "kumquatvalve/process/object_api.h"
 #include "kumquatvalve/request/result_code.h"
 
 namespace kumquatvalve::process {
 
-/// The configuration and upstream records that an entry instance serves to
-/// peers that cannot reach the store.
+/// The configuration, upstream records and evacuated zones that an entry
+/// instance serves to peers that cannot reach the store.
 struct PeerSnapshot {
   /// The configuration as it is stored; nothing when none is known.
   std::optional<StoredObject> configuration;
   /// Upstream records, as they are stored.
   std::vector<StoredObject> records;
+  /// Nothing when they are not known or not followed. Earlier versions ignore
+  /// the member.
+  std::optional<connection::EvacuationList> evacuated_zones;
   /// After decoding: why objects of the text were left out, one entry for each.
   std::vector<request::Failure> skipped;
 };
--- a/packages/process/include/kumquatvalve/process/store_watcher.h
+++ b/packages/process/include/kumquatvalve/process/store_watcher.h
@@ -86,6 +86,9 @@
     }
   }
 
+  /// Store version of the copy. To be called by the listener's functions only.
+  request::TableVersion version() const { return watch_since_; }
+
   /// Ends `Run`, interrupting a call in progress. Thread-safe.
   void Stop() {
     stopped_ = true;
--- a/packages/process/src/decision_log.cc
+++ b/packages/process/src/decision_log.cc
@@ -16,6 +16,15 @@
             : "";
 }
 
+// The reason of the last return; "evacuated" when the flow was not offered to
+// any upstream because of evacuated zones.
+std::string ReasonText(const connection::EntryDecision& decision) {
+  return decision.zone_evacuated &&
+                 decision.reason == request::ReturnReason::kNone
+             ? "evacuated"
+             : std::string(Name(decision.reason));
+}
+
 }  // namespace
 
 std::string FlowId(const request::FlowKey& flow) {
@@ -57,7 +66,7 @@
        {"route", decision.route == nullptr ? "" : decision.route->name},
        {"sidecar",
         decision.sidecar ? request::ToString(*decision.sidecar) : ""},
-       {"reason", std::string(Name(decision.reason))},
+       {"reason", ReasonText(decision)},
        {"report_age_ms", std::to_string(decision.report_age.count())},
        {"expected_wait_us", std::to_string(decision.expected_wait.count())},
        {"route_revision", std::to_string(decision.route_revision)},
--- a/packages/process/src/log_event.cc
+++ b/packages/process/src/log_event.cc
@@ -42,6 +42,10 @@
       return "table_unreadable";
     case LogEvent::kRecordRemoved:
       return "record_removed";
+    case LogEvent::kZoneEvacuated:
+      return "zone_evacuated";
+    case LogEvent::kEvacuationEnded:
+      return "evacuation_ended";
     case LogEvent::kStoreUnavailable:
       return "store_unavailable";
     case LogEvent::kStoreAvailable:
--- a/packages/process/src/node_metrics.cc
+++ b/packages/process/src/node_metrics.cc
@@ -75,6 +75,18 @@
       unexpected_errors_(
           AddCounter(&registry_, "kumquatvalve_unexpected_errors_total",
                      "Exceptions that threads and HTTP handlers caught.")),
+      evacuations_begun_(
+          AddCounter(&registry_, "kumquatvalve_evacuations_begun_total",
+                     "Evacuations of zones that were put in force.")),
+      evacuations_ended_(
+          AddCounter(&registry_, "kumquatvalve_evacuations_ended_total",
+                     "Evacuations of zones that are no longer in force.")),
+      evacuation_refusals_(
+          AddCounter(&registry_, "kumquatvalve_evacuation_refusals_total",
+                     "Flows refused since the only upstreams left for them are "
+                     "in evacuated zones.")),
+      evacuated_zones_(AddGauge(&registry_, "kumquatvalve_evacuated_zones",
+                                "Zones that are evacuated.")),
       flows_(AddGauge(&registry_, "kumquatvalve_flows",
                       "Flows that the process remembers.")),
       in_progress_(AddGauge(&registry_, "kumquatvalve_requests_in_progress",
@@ -100,6 +112,13 @@
   report_age_->Observe(Seconds(report_age).count());
 }
 
+void NodeMetrics::OnEvacuationChange(const connection::EvacuationChange& change,
+                                     size_t zones) {
+  evacuations_begun_->Increment(static_cast<double>(change.evacuated.size()));
+  evacuations_ended_->Increment(static_cast<double>(change.ended.size()));
+  evacuated_zones_->Set(static_cast<double>(zones));
+}
+
 std::vector<prometheus::MetricFamily> NodeMetrics::Collect() const {
   std::vector<prometheus::MetricFamily> families = registry_.Collect();
   families.push_back(
--- a/packages/process/src/peer_snapshot.cc
+++ b/packages/process/src/peer_snapshot.cc
@@ -22,6 +22,17 @@
     .max_bytes = size_t{4} << 20, .max_depth = 2, .max_values = 100};
 constexpr size_t kMaxPathBytes = 1024;
 
+constexpr JsonLimits kZonesLimits{
+    .max_bytes = size_t{1} << 20, .max_depth = 3, .max_values = 10000};
+
+Json Encode(const connection::EvacuationList& list) {
+  Json value = {{"version", list.version.value}, {"zones", Json::array()}};
+  for (const request::AvailabilityZone& it : list.zones) {
+    value["zones"].push_back(it.text());
+  }
+  return value;
+}
+
 std::nullopt_t FailBadAnswer(std::string detail, request::Failure* failure) {
   *failure = {request::ResultCode::kBadAnswer, std::move(detail)};
   return std::nullopt;
@@ -42,6 +53,30 @@
   return StoredObject{std::move(*path), {*version}, std::move(*body)};
 }
 
+// A list is read as a whole or not at all: a zone that is missing in it is not
+// evacuated.
+std::optional<connection::EvacuationList> DecodeEvacuationList(
+    std::string_view text, request::Failure* failure) {
+  const auto value = ParseBoundedJson(text, kZonesLimits, failure);
+  if (!value) {
+    return std::nullopt;
+  }
+  const auto version = ReadUnsigned(*value, "version", UINT64_MAX);
+  const auto zones = value->find("zones");
+  if (!version || zones == value->end() || !zones->is_array()) {
+    return FailBadAnswer("the evacuated zones of a peer lack a field", failure);
+  }
+  connection::EvacuationList list{{*version}, {}};
+  for (const Json& it : *zones) {
+    if (!it.is_string()) {
+      return FailBadAnswer("an evacuated zone of a peer is not a name",
+                           failure);
+    }
+    list.zones.insert(request::AvailabilityZone(it.get<std::string>()));
+  }
+  return list;
+}
+
 }  // namespace
 
 std::string EncodePeerSnapshot(const PeerSnapshot& snapshot) {
@@ -49,6 +84,9 @@
   if (snapshot.configuration) {
     value["configuration"] = Encode(*snapshot.configuration);
   }
+  if (snapshot.evacuated_zones) {
+    value["evacuated_zones"] = Encode(*snapshot.evacuated_zones);
+  }
   for (const StoredObject& it : snapshot.records) {
     value["records"].push_back(Encode(it));
   }
@@ -77,6 +115,13 @@
       snapshot.skipped.push_back(std::move(reason));
     }
   }
+  if (const auto it = FindMember(*members, "evacuated_zones")) {
+    request::Failure reason;
+    snapshot.evacuated_zones = DecodeEvacuationList(*it, &reason);
+    if (!snapshot.evacuated_zones) {
+      snapshot.skipped.push_back(std::move(reason));
+    }
+  }
   for (const std::string_view it : *records) {
     request::Failure reason;
     if (auto record = Decode(it, &reason)) {
--- a/packages/version/include/kumquatvalve/version/node_settings.h
+++ b/packages/version/include/kumquatvalve/version/node_settings.h
@@ -58,6 +58,9 @@
   /// A configuration must be in force this long after the store accepted it;
   /// only for `Role::kEntry`.
   std::chrono::milliseconds configuration_apply_limit{3000};
+  /// The evacuation of a zone must be in force this long after the store
+  /// accepted it. Empty: evacuations are not followed. Only for `Role::kEntry`.
+  std::optional<std::chrono::milliseconds> evacuation_apply_limit;
 };
 
 /// Reads and validates a settings file of a store-controlled process.
--- a/packages/version/src/node_settings.cc
+++ b/packages/version/src/node_settings.cc
@@ -64,6 +64,15 @@
      .only_for_role = "entry",
      .doc = "Time in which a configuration must be in force after the store "
             "accepted it, ms. Decides how often the store is asked."},
+    {.key = "evacuation_apply_ms",
+     .type = Type::kInteger,
+     .min_value = 1000,
+     .max_value = 60000,
+     .only_for_role = "entry",
+     .doc =
+         "Time in which the evacuation of an availability zone, and its end, "
+         "must be in force after the store accepted it, ms. Without it, "
+         "evacuations are not followed."},
     {.key = "upstream.packets",
      .type = Type::kEndpoint,
      .required = true,
@@ -138,6 +147,10 @@
     settings.hops = reader->Endpoint("hops");
     settings.configuration_apply_limit =
         std::chrono::milliseconds(reader->Integer("configuration_apply_ms"));
+    if (reader->Has("evacuation_apply_ms")) {
+      settings.evacuation_apply_limit =
+          std::chrono::milliseconds(reader->Integer("evacuation_apply_ms"));
+    }
     if (reader->Has("peer_listen")) {
       settings.peer_listen = reader->Endpoint("peer_listen");
     }
--- a/packages/version/test/node_settings_test.cc
+++ b/packages/version/test/node_settings_test.cc
@@ -62,6 +62,19 @@
         ResultCode::kOutOfRange);
 }
 
+// Without the setting an instance must make no calls for evacuations.
+TEST_CASE("node_settings: evacuations are followed only when it is set") {
+  std::vector<SettingsError> errors;
+  const auto without = ParseNodeSettings(kEntry, "node.yaml", &errors);
+  REQUIRE(without);
+  CHECK_FALSE(without->evacuation_apply_limit);
+  const std::string line = "evacuation_apply_ms: 5000\n";
+  const auto with = ParseNodeSettings(kEntry + line, "node.yaml", &errors);
+  REQUIRE(with);
+  CHECK(with->evacuation_apply_limit == std::chrono::milliseconds(5000));
+  CHECK_FALSE(ParseErrors(kSidecar + line).empty());
+}
+
 TEST_CASE("node_settings: the time before an address is used again is read") {
   std::vector<SettingsError> errors;
   const auto without = ParseNodeSettings(kSidecar, "node.yaml", &errors);
