--- a/packages/connection/test/entry_router_test.cc
+++ b/packages/connection/test/entry_router_test.cc
@@ -1346,6 +1346,45 @@
   CHECK(f.sink.last_decision.route_revision == 1);
 }
 
+// Guards against new flows in an evacuated zone with a third of the upstreams,
+// the instance's own, also when no upstream of the other zones responds.
+TEST_CASE("entry_router: evacuated zones get no new flows") {
+  const std::vector<std::string> names = {"a", "b", "c"};
+  std::vector<version::UpstreamRecord> records;
+  std::set<int> all;
+  for (int i = 1; i <= 48; ++i) {
+    records.push_back(Record(i, names[i % 3]));
+    all.insert(i);
+  }
+  // Returns the number of flows that were placed in each zone, and resets.
+  const auto place = [&](const std::string& zones, bool responding) {
+    Fixture f(Routes(1), records);
+    f.AdvanceTime(milliseconds(400), responding ? std::set<int>() : all);
+    EvacuatedZones evacuated;
+    for (const char it : zones) {
+      evacuated[request::AvailabilityZone(std::string(1, it))] = f.now;
+    }
+    f.router.OnEvacuatedZones(evacuated);
+    for (uint16_t port = 1; port <= 120; ++port) {
+      f.ReceiveSyn(port);
+    }
+    std::map<std::string, size_t> placed = {{"resets", f.sink.resets.size()}};
+    for (const Sent& it : f.sink.SentOfKind(HopKind::kPacket)) {
+      ++placed[f.router.upstreams().Find(it.to)->record().zone.text()];
+    }
+    return placed;
+  };
+  for (const bool responding : {true, false}) {
+    CHECK(place("", responding)["a"] > 0);
+    auto placed = place("a", responding);
+    CHECK(placed["a"] == 0);
+    CHECK(placed["b"] + placed["c"] == 120);
+    CHECK(place("ab", responding)["c"] == 120);
+    CHECK(place("abc", responding) ==
+          std::map<std::string, size_t>{{"resets", 120}});
+  }
+}
+
 // Guards against callers of a service that runs in the evacuated zone only, who
 // would wait until their time limit or get a false refusal, and against moved
 // flows.
--- a/packages/process/test/node_metrics_test.cc
+++ b/packages/process/test/node_metrics_test.cc
@@ -21,6 +21,8 @@
   metrics->OnPlacement(std::chrono::milliseconds(20),
                        std::chrono::milliseconds(70));
   metrics->SetFlows(17);
+  metrics->OnEvacuationChange({{request::AvailabilityZone("a")}, {}}, 1);
+  metrics->OnEvacuationRefusal();
   const std::string text = SerializeMetrics({metrics});
   const std::string call =
       "kumquatvalve_store_call_duration_seconds_bucket{method=\"GET\","
@@ -34,6 +36,9 @@
            std::string("kumquatvalve_placement_report_age_seconds_bucket{le="
                        "\"0.1\"} 1"),
            std::string("kumquatvalve_flows 17"),
+           std::string("kumquatvalve_evacuations_begun_total 1"),
+           std::string("kumquatvalve_evacuated_zones 1"),
+           std::string("kumquatvalve_evacuation_refusals_total 1"),
        }) {
     INFO(it << " in\n" << text);
     CHECK(text.find(it) != std::string::npos);
--- a/packages/process/test/peer_client_test.cc
+++ b/packages/process/test/peer_client_test.cc
@@ -129,6 +129,19 @@
   }
 }
 
+// A part of the list, taken for all of it, would end evacuations.
+TEST_CASE("peer_snapshot: evacuated zones are read as a whole or not at all") {
+  for (const std::string odd :
+       {"7", R"({"version":3})", R"({"version":3,"zones":["a",7]})"}) {
+    Failure failure;
+    const auto snapshot = DecodePeerSnapshot(
+        R"({"records":[],"evacuated_zones":)" + odd + "}", &failure);
+    REQUIRE(snapshot);
+    CHECK_FALSE(snapshot->evacuated_zones);
+    CHECK(snapshot->skipped.size() == 1);
+  }
+}
+
 // One record that a peer could not read made it ignore the whole snapshot.
 TEST_CASE("peer_snapshot: an unreadable object does not hide the others") {
   const std::string good = R"({"path":"u/1","version":3,"body":"b"})";
