--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -668,6 +668,22 @@
         view.OnHelloSent(now);
         sink_->Send(sidecar, message, {});
       }
+      SendServiceLimit(&view, now);
+    }
+  }
+
+  // Earlier versions drop the message, so no reaction is expected.
+  void SendServiceLimit(UpstreamView* view, TimePoint now) {
+    if (routes_ == nullptr) {
+      return;
+    }
+    const uint16_t tenths = routes_->WarmUpPerSecondTenths(view->tag());
+    if (view->TakeServiceLimit(tenths, now)) {
+      request::HopMessage message;
+      message.kind = request::HopKind::kServiceLimits;
+      message.service = view->tag();
+      message.warm_up_per_second_tenths = tenths;
+      sink_->Send(view->sidecar(), message, {});
     }
   }
 
--- a/packages/connection/include/kumquatvalve/connection/gate_decision.h
+++ b/packages/connection/include/kumquatvalve/connection/gate_decision.h
@@ -49,15 +49,19 @@
   /// The state of the lease on the upstream's address changed; see
   /// `LeaseState`.
   kLease,
+  /// A first packet exceeded what a cold upstream may get; it is returned or
+  /// waits.
+  kWarmUpLimited,
 };
 
-inline constexpr size_t kGateVerdicts = 12;
+inline constexpr size_t kGateVerdicts = 13;
 
 constexpr std::string_view Name(GateVerdict verdict) {
   constexpr std::array<std::string_view, kGateVerdicts> kNames = {
-      "admitted", "returned",     "adopted",      "probed",
-      "not_held", "lost",         "unresponsive", "responsive",
-      "waiting",  "earlier_flow", "trial",        "lease"};
+      "admitted",       "returned",     "adopted",      "probed",
+      "not_held",       "lost",         "unresponsive", "responsive",
+      "waiting",        "earlier_flow", "trial",        "lease",
+      "warm_up_limited"};
   return kNames[static_cast<size_t>(verdict)];
 }
 
--- a/packages/connection/include/kumquatvalve/connection/identity_tracker.h
+++ b/packages/connection/include/kumquatvalve/connection/identity_tracker.h
@@ -42,6 +42,9 @@
   UpstreamIdentity identity;
   /// Increases with each heartbeat of one incarnation.
   uint64_t sequence = 0;
+  /// Time for which the upstream is still cold. Not a part of the identity: it
+  /// changes with each heartbeat, and the record does not have it.
+  std::chrono::milliseconds warm_up_left{0};
 };
 
 /// What a sidecar does with a heartbeat.
--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -25,6 +25,7 @@
 #include "kumquatvalve/connection/responsiveness.h"
 #include "kumquatvalve/connection/service_time_estimate.h"
 #include "kumquatvalve/connection/waiting_flows.h"
+#include "kumquatvalve/connection/warm_up_limit.h"
 #include "kumquatvalve/request/flow_key.h"
 #include "kumquatvalve/request/hop_message.h"
 #include "kumquatvalve/request/packet.h"
@@ -43,10 +44,12 @@
   ///   announces its own.
   /// @param lease_duration see `LeaseDuration`.
   UpstreamGate(std::string_view service,
-               std::chrono::milliseconds lease_duration, S* sink)
+               std::chrono::milliseconds lease_duration, S* sink,
+               WarmUpLimit warm_up = WarmUpLimit())
       : tag_(request::ServiceTagOf(service)),
         sink_(sink),
-        lease_(lease_duration) {
+        lease_(lease_duration),
+        warm_up_(warm_up) {
     load_.unresponsive = true;
   }
 
@@ -63,6 +66,7 @@
       OnNewIncarnation(/*same_service=*/identity.service == identity_.service);
     }
     identity_ = identity;
+    warm_up_.OnStart(identity.incarnation_ms, now);
     tag_ = request::ServiceTagOf(identity.service);
     load_.incarnation_ms = identity.incarnation_ms;
     load_.slots = static_cast<uint16_t>(identity.slots);
@@ -86,9 +90,12 @@
   /// A heartbeat of the upstream was accepted; `OnIdentity` is called before
   /// when it changed the identity.
   /// @param sent_after the heartbeat was sent at this time or later.
+  /// @param warm_up_left time for which the upstream is still cold.
   void OnHeartbeat(const HeartbeatId& heartbeat, TimePoint sent_after,
-                   TimePoint now) {
+                   TimePoint now,
+                   std::chrono::milliseconds warm_up_left = {}) {
     heartbeat_at_ = now;
+    warm_up_.OnHeartbeat(heartbeat.start.time_ms, warm_up_left, now);
     lease_.OnHeartbeat(heartbeat, sent_after, now);
     responsiveness_.OnHeartbeat();
     CheckLease(now);
@@ -168,6 +175,9 @@
       OnLocate(entry, message);
     } else if (message.kind == request::HopKind::kList) {
       SendFlowList(entry, message);
+    } else if (message.kind == request::HopKind::kServiceLimits &&
+               message.service == tag_) {
+      warm_up_.OnRate(message.warm_up_per_second_tenths, now);
     }
   }
 
@@ -256,6 +266,7 @@
   void OnTick(TimePoint now) {
     first_tick_at_ = first_tick_at_.value_or(now);
     ran_for_idle_ttl_ = now - *first_tick_at_ >= kIdleFlowTtl;
+    warm_up_.Advance(now);
     CheckLease(now);
     CheckResponsiveness(now);
     AdmitWaiting(now);
@@ -287,6 +298,7 @@
   size_t flows() const { return flows_.size(); }
   const request::UpstreamLoad& load() const { return load_; }
   size_t waiting() const { return waiting_.size(); }
+  const WarmUpLimit& warm_up() const { return warm_up_; }
   const UpstreamIdentity& identity() const { return identity_; }
   LeaseState LeaseAt(TimePoint now) const { return lease_.State(now); }
   /// When the last message of any entry instance arrived.
@@ -433,6 +445,7 @@
 
   void NoteEntryMessage(const request::Endpoint& entry, TimePoint now) {
     last_entry_message_at_ = now;
+    warm_up_.Advance(now);
     EntryState& state = entries_[entry];
     state.last_received_at = now;
     state.report_due = true;
@@ -470,7 +483,7 @@
     if (now < on_time_until) {
       state.waiting = waiting_.CountOnTime(now);
     }
-    switch (DecideOffer(state, message.final_offer, message.max_wait)) {
+    switch (DecideOfferWithinLimit(state, message, packet)) {
       case OfferAction::kDeliver:
         Admit(entry, packet, now);
         return;
@@ -488,6 +501,19 @@
     Return(entry, packet, request::ReturnReason::kQueueFull);
   }
 
+  OfferAction DecideOfferWithinLimit(const OfferState& state,
+                                     const request::HopMessage& message,
+                                     const request::ParsedPacket& packet) {
+    const OfferAction action =
+        DecideOffer(state, message.final_offer, message.max_wait);
+    const OfferAction restricted = warm_up_.Restrict(
+        action, message.final_offer, message.max_wait, state.waiting);
+    if (restricted != action) {
+      RecordVerdict(GateVerdict::kWarmUpLimited, packet.flow);
+    }
+    return restricted;
+  }
+
   // A first packet while nothing shows that the upstream is behind its address.
   // Its next heartbeat may arrive in time, so a flow that has no better choice
   // waits for it, unless an upstream of another service probably replaced it.
@@ -584,6 +610,7 @@
     flow.opening = true;
     ++load_.opening;
     admitted_.push_back({packet.flow, now});
+    warm_up_.OnFirstPacket();
     flows_.insert_or_assign(packet.flow, flow);
     not_held_.erase(packet.flow);
     const bool is_trial = responsiveness_.unresponsive();
@@ -614,12 +641,13 @@
   // Delivers waiting first packets while the upstream has room.
   void AdmitWaiting(TimePoint now) {
     ExpireOpeningFlows(now);
+    warm_up_.Advance(now);
     // The upstream may be unresponsive when its response to a first packet is
     // late.
     const bool response_late = responsiveness_.IsResponseLate(now);
     while (!response_late && !waiting_.empty() &&
            lease_.State(now) == LeaseState::kHeld &&
-           HasRoom(CurrentOfferState())) {
+           HasRoom(CurrentOfferState()) && warm_up_.Allows()) {
       if (const auto it = waiting_.Pop(now)) {
         Admit(it->entry, it->ToPacket(), now);
       }
@@ -915,6 +943,7 @@
     message.load = load_;
     message.load.opening =
         static_cast<uint16_t>(load_.opening + waiting_.size());
+    message.load.warm_up_allowance = warm_up_.Allowance(waiting_.size());
     sink_->Send(entry, message, {});
   }
 
@@ -984,6 +1013,7 @@
   double opened_share_ = 1.0;
   Responsiveness responsiveness_;
   AddressLease lease_;
+  WarmUpLimit warm_up_;
   /// The state of the lease at the last check.
   LeaseState reported_lease_ = LeaseState::kLapsed;
   /// When a check first found that the lease is not held; empty while it is.
--- a/packages/connection/include/kumquatvalve/connection/upstream_set.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_set.h
@@ -37,7 +37,9 @@
   const UpstreamView* Find(const request::Endpoint& sidecar) const;
 
   /// The upstreams of a service that accept new flows and are not excluded;
-  /// when there are none, those that accept them as a last resort.
+  /// when there are none, those that accept them as a last resort. Of these,
+  /// cold upstreams that may get no more first packets are left out while there
+  /// are others.
   std::vector<UpstreamView*> Candidates(
       request::ServiceTag service, std::span<const request::Endpoint> excluded,
       TimePoint now);
--- a/packages/connection/include/kumquatvalve/connection/upstream_view.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_view.h
@@ -7,6 +7,7 @@
 
 #include "kumquatvalve/connection/admission_policy.h"
 #include "kumquatvalve/connection/placement.h"
+#include "kumquatvalve/connection/service_limit_notice.h"
 #include "kumquatvalve/request/hop_message.h"
 #include "kumquatvalve/version/route_map.h"
 
@@ -48,6 +49,20 @@
   ///   since its reports may be lost.
   bool AcceptsNewFlows(TimePoint now, bool last_resort) const;
 
+  /// Whether the upstream may get another first packet by its last report,
+  /// after the flows placed since. True when it is not warming up.
+  bool HasWarmUpAllowance() const {
+    return !load_.warm_up_allowance ||
+           placed_since_report_ < *load_.warm_up_allowance;
+  }
+
+  /// Whether the warm-up rate of the service has to be sent to the sidecar now;
+  /// see `ServiceLimitNotice`.
+  bool TakeServiceLimit(uint16_t per_second_tenths, TimePoint now) {
+    return limit_notice_.Take(per_second_tenths,
+                              load_.warm_up_allowance.has_value(), now);
+  }
+
   bool listed() const { return !unlisted_since_; }
   /// Whether the store lacks the sidecar's record, so that the sidecar has to
   /// be notified: there is none, or the sidecar has been of another service
@@ -92,6 +107,7 @@
   request::ServiceTag tag_;
   bool same_zone_ = false;
   request::UpstreamLoad load_;
+  ServiceLimitNotice limit_notice_;
   uint32_t placed_since_report_ = 0;
   TimePoint last_report_at_;
   /// Empty before the first message of the sidecar.
--- a/packages/connection/src/upstream_set.cc
+++ b/packages/connection/src/upstream_set.cc
@@ -11,6 +11,16 @@
   return std::find(values.begin(), values.end(), value) != values.end();
 }
 
+// Leaves out cold upstreams without allowance while there are others.
+void PreferWarmUpAllowance(std::vector<UpstreamView*>* candidates) {
+  const auto end =
+      std::partition(candidates->begin(), candidates->end(),
+                     [](const auto* it) { return it->HasWarmUpAllowance(); });
+  if (end != candidates->begin()) {
+    candidates->erase(end, candidates->end());
+  }
+}
+
 }  // namespace
 
 UpstreamSet::UpstreamSet(request::AvailabilityZone zone)
@@ -72,6 +82,7 @@
       break;
     }
   }
+  PreferWarmUpAllowance(&candidates);
   return candidates;
 }
 
--- a/packages/process/include/kumquatvalve/process/entry_node.h
+++ b/packages/process/include/kumquatvalve/process/entry_node.h
@@ -319,6 +319,9 @@
            {"slots", view.record().slots},
            {"service_time_us", view.load().service_time_us},
            {"report_age_ms", view.ReportAge(now_).count()}});
+      if (const auto allowance = view.load().warm_up_allowance) {
+        status["upstreams"].back()["warm_up_allowance"] = *allowance;
+      }
     }
     return status.dump();
   }
--- a/packages/process/include/kumquatvalve/process/log_event.h
+++ b/packages/process/include/kumquatvalve/process/log_event.h
@@ -26,6 +26,7 @@
   kUpstreamChanged = 1203,
   kHeartbeatLate = 1204,
   kHeartbeatUnreadable = 1205,
+  kWarmUpChanged = 1210,
   kTableWritten = 1301,
   kTableWriteFailed = 1302,
   kTableUnreadable = 1303,
--- a/packages/process/include/kumquatvalve/process/node_metrics.h
+++ b/packages/process/include/kumquatvalve/process/node_metrics.h
@@ -44,6 +44,9 @@
 
   void SetFlows(size_t n) { flows_->Set(static_cast<double>(n)); }
   void SetInProgress(size_t n) { in_progress_->Set(static_cast<double>(n)); }
+  void SetWarmUpLimiting(bool limiting) {
+    warm_up_limiting_->Set(limiting ? 1 : 0);
+  }
   void SetRouteRevision(uint64_t n) {
     route_revision_->Set(static_cast<double>(n));
   }
@@ -61,6 +64,7 @@
   prometheus::Counter* unexpected_errors_;
   prometheus::Gauge* flows_;
   prometheus::Gauge* in_progress_;
+  prometheus::Gauge* warm_up_limiting_;
   prometheus::Gauge* route_revision_;
   prometheus::Gauge* upstreams_;
 };
--- a/packages/process/include/kumquatvalve/process/sidecar_node.h
+++ b/packages/process/include/kumquatvalve/process/sidecar_node.h
@@ -143,7 +143,7 @@
                [this] { output_.metrics().OnUnexpectedError(); }),
         gate_(settings.upstream->service.text(),
               connection::LeaseDuration(settings.upstream->address_reuse),
-              &output_) {}
+              &output_, MakeWarmUpLimit(*settings.upstream)) {}
 
   /// Binds the sockets; to be called before `Run`.
   /// @return false and `kSocketError` when an endpoint cannot be bound.
@@ -164,13 +164,15 @@
   }
 
   /// Hands over that a heartbeat of the upstream was accepted.
-  void PublishHeartbeat(connection::HeartbeatId heartbeat) {
-    heartbeats_.Add({Clock::now(), std::move(heartbeat), false});
+  /// @param warm_up_left time for which the upstream is still cold.
+  void PublishHeartbeat(connection::HeartbeatId heartbeat,
+                        std::chrono::milliseconds warm_up_left) {
+    heartbeats_.Add({Clock::now(), std::move(heartbeat), false, warm_up_left});
   }
 
   /// Hands over a heartbeat that names another service.
   void PublishOtherServiceHeartbeat(connection::HeartbeatId heartbeat) {
-    heartbeats_.Add({Clock::now(), std::move(heartbeat), true});
+    heartbeats_.Add({Clock::now(), std::move(heartbeat), true, {}});
   }
 
   /// True until `Stop` is called.
@@ -204,6 +206,7 @@
     Clock::time_point received_at;
     connection::HeartbeatId id;
     bool of_other_service = false;
+    std::chrono::milliseconds warm_up_left{0};
   };
 
   // Bits that `WaitReadable` returns, in the order of its handles.
@@ -252,6 +255,7 @@
       gate_.OnTick(now_);
       output_.metrics().SetFlows(gate_.flows());
       output_.metrics().SetInProgress(gate_.load().in_progress);
+      ReportWarmUp();
     }
     status_request_.Serve([this] { return StatusJson(); });
     const bool no_entry_contact =
@@ -268,10 +272,41 @@
     output_.Flush();
   }
 
+  static connection::WarmUpLimit MakeWarmUpLimit(
+      const version::NodeUpstreamSettings& upstream) {
+    return upstream.warm_up_slack
+               ? connection::WarmUpLimit(*upstream.warm_up_slack)
+               : connection::WarmUpLimit();
+  }
+
+  // The rate that limits a cold upstream, in requests a second.
+  nlohmann::json WarmUpRate() const {
+    const auto tenths = gate_.warm_up().per_second_tenths();
+    return tenths ? nlohmann::json(*tenths / 10.0) : nlohmann::json();
+  }
+
+  // Logs when the limit for a cold upstream begins, gets another rate or ends.
+  void ReportWarmUp() {
+    const bool limiting = gate_.warm_up().limiting();
+    const auto tenths = gate_.warm_up().per_second_tenths();
+    const bool same_rate = !limiting || tenths == reported_warm_up_tenths_;
+    if (limiting == reported_warm_up_ && same_rate) {
+      return;
+    }
+    reported_warm_up_ = limiting;
+    reported_warm_up_tenths_ = tenths;
+    output_.metrics().SetWarmUpLimiting(limiting);
+    logger_->Log(LogLevel::kInfo, LogEvent::kWarmUpChanged,
+                 limiting ? "first packets are limited"
+                          : "first packets are not limited",
+                 {{"upstream", gate_.identity().instance},
+                  {"per_second", WarmUpRate().dump()}});
+  }
+
   // Called by the traffic thread only.
   std::string StatusJson() const {
     const request::UpstreamLoad& load = gate_.load();
-    const nlohmann::ordered_json status = {
+    nlohmann::ordered_json status = {
         {"role", "sidecar"},
         {"instance", settings_.instance.text()},
         {"ready", Ready()},
@@ -287,6 +322,13 @@
         {"waiting", gate_.waiting()},
         {"service_time_us", load.service_time_us},
         {"flows", gate_.flows()}};
+    if (gate_.warm_up().active()) {
+      const auto allowance = gate_.warm_up().Allowance(gate_.waiting());
+      status["warm_up_limited"] = gate_.warm_up().limiting();
+      status["warm_up_per_second"] = WarmUpRate();
+      status["warm_up_allowance"] =
+          allowance ? nlohmann::json(*allowance) : nlohmann::json();
+    }
     return status.dump();
   }
 
@@ -305,7 +347,8 @@
       if (it.of_other_service) {
         gate_.OnOtherServiceHeartbeat(it.id, now_);
       } else {
-        gate_.OnHeartbeat(it.id, send_times_.SentAfter(it.received_at), now_);
+        gate_.OnHeartbeat(it.id, send_times_.SentAfter(it.received_at), now_,
+                          it.warm_up_left);
       }
     }
   }
@@ -382,6 +425,9 @@
   std::optional<Clock::time_point> stop_at_;
   bool drain_started_ = false;
   bool stopped_ = false;
+  /// What `ReportWarmUp` logged last.
+  bool reported_warm_up_ = false;
+  std::optional<uint16_t> reported_warm_up_tenths_;
   ExceptionGuard guard_;
   Gate gate_;
 };
--- a/packages/process/src/log_event.cc
+++ b/packages/process/src/log_event.cc
@@ -34,6 +34,8 @@
       return "heartbeat_late";
     case LogEvent::kHeartbeatUnreadable:
       return "heartbeat_unreadable";
+    case LogEvent::kWarmUpChanged:
+      return "warm_up_changed";
     case LogEvent::kTableWritten:
       return "table_written";
     case LogEvent::kTableWriteFailed:
--- a/packages/process/src/node_metrics.cc
+++ b/packages/process/src/node_metrics.cc
@@ -79,6 +79,9 @@
                       "Flows that the process remembers.")),
       in_progress_(AddGauge(&registry_, "kumquatvalve_requests_in_progress",
                             "Requests whose answer has not begun.")),
+      warm_up_limiting_(
+          AddGauge(&registry_, "kumquatvalve_warm_up_limited",
+                   "1 while first packets to a cold upstream are limited.")),
       route_revision_(AddGauge(&registry_, "kumquatvalve_route_revision",
                                "Store revision of the routes in force.")),
       upstreams_(AddGauge(&registry_, "kumquatvalve_upstreams",
--- a/packages/version/include/kumquatvalve/version/node_settings.h
+++ b/packages/version/include/kumquatvalve/version/node_settings.h
@@ -28,6 +28,9 @@
   /// Time between the end of an upstream and the next use of its address, at
   /// least.
   std::chrono::milliseconds address_reuse{2000};
+  /// First packets that a cold upstream may get in a second beyond those of its
+  /// service's rate; empty when first packets are not limited.
+  std::optional<double> warm_up_slack;
 };
 
 /// Settings of a process that gets its configuration from the platform's store.
--- a/packages/version/include/kumquatvalve/version/route_map.h
+++ b/packages/version/include/kumquatvalve/version/route_map.h
@@ -59,6 +59,16 @@
   /// A flow that has had no packets for this long may be removed from flow
   /// tables.
   std::chrono::milliseconds idle_timeout{15000};
+  /// First packets that a cold upstream of a service can handle, in tenths of
+  /// a packet a second. Services without a limit are left out.
+  std::map<request::ServiceTag, uint16_t> warm_up_per_second_tenths;
+
+  /// Returns the rate of a service in `warm_up_per_second_tenths`, 0 when there
+  /// is no limit.
+  uint16_t WarmUpPerSecondTenths(request::ServiceTag service) const {
+    const auto it = warm_up_per_second_tenths.find(service);
+    return it == warm_up_per_second_tenths.end() ? 0 : it->second;
+  }
 
   /// Returns the route of an address, or null when there is none.
   const Route* Find(const request::Endpoint& address) const {
--- a/packages/version/src/node_settings.cc
+++ b/packages/version/src/node_settings.cc
@@ -94,6 +94,13 @@
             "address by another one, at least, s. An upstream that is silent "
             "for almost that time gets no first packets until its next "
             "heartbeat."},
+    {.key = "upstream.warm_up.slack",
+     .type = Type::kNumber,
+     .min_value = 0,
+     .max_value = 10000,
+     .only_for_role = "sidecar",
+     .doc = "First packets that a cold upstream may get in a second beyond "
+            "those of its service's rate. Without it they are not limited."},
     {.key = "log_level",
      .type = Type::kChoice,
      .default_text = "info",
@@ -150,6 +157,9 @@
   upstream.service = request::ServiceName(reader->Text("upstream.service"));
   upstream.address_reuse = std::chrono::milliseconds(std::lround(
       reader->Number("upstream.address_reuse_s") * kMillisecondsPerSecond));
+  if (reader->Has("upstream.warm_up.slack")) {
+    upstream.warm_up_slack = reader->Number("upstream.warm_up.slack");
+  }
   settings.upstream = upstream;
   return settings;
 }
