--- a/packages/connection/test/entry_router_test.cc
+++ b/packages/connection/test/entry_router_test.cc
@@ -1317,6 +1317,73 @@
   CHECK(f.sink.resets.size() == 1);
 }
 
+// Guards against offers to cold upstreams that return them, and against flows
+// that are refused because all upstreams are cold.
+TEST_CASE(
+    "entry_router: a cold upstream gets no flow beyond its allowance while "
+    "another accepts") {
+  const auto holders = [](std::optional<uint8_t> allowance) {
+    Fixture f;
+    for (const int cold : {1, 2}) {
+      request::UpstreamLoad load;
+      load.warm_up_allowance = allowance;
+      f.ReportLoad(cold, load);
+    }
+    for (uint16_t port = 1; port <= 12; ++port) {
+      f.ReceiveSyn(port);
+    }
+    std::map<request::Endpoint, int> flows;
+    for (const Sent& it : f.sink.SentOfKind(HopKind::kPacket)) {
+      ++flows[it.to];
+    }
+    return flows;
+  };
+  const auto cold = Record(1, "a").sidecar;
+  const auto warm = Record(3, "b").sidecar;
+  CHECK(holders(std::nullopt)[cold] > 1);
+  CHECK(holders(1)[cold] == 1);
+  CHECK(holders(1)[warm] == 10);
+  CHECK(holders(0)[warm] == 12);
+}
+
+TEST_CASE("entry_router: flows are placed when all upstreams lack allowance") {
+  Fixture f;
+  for (const int cold : {1, 2, 3}) {
+    request::UpstreamLoad load;
+    load.warm_up_allowance = 0;
+    f.ReportLoad(cold, load);
+  }
+  f.ReceiveSyn(1);
+  CHECK(f.sink.SentOfKind(HopKind::kPacket).size() == 1);
+}
+
+TEST_CASE("entry_router: sidecars get the warm-up rate of their service") {
+  const auto sent = [](Fixture* f, uint64_t revision, uint16_t tenths) {
+    f->sink.sent.clear();
+    auto routes = Routes(revision);
+    if (tenths != 0) {
+      routes->warm_up_per_second_tenths[request::ServiceTagOf("patio")] =
+          tenths;
+    }
+    f->router.OnRoutes(routes, f->now);
+    f->AdvanceTime(milliseconds(50));
+    return f->sink.SentOfKind(HopKind::kServiceLimits);
+  };
+  Fixture f;
+  CHECK(sent(&f, 2, 0).empty());
+  const auto first = sent(&f, 3, 405);
+  REQUIRE(first.size() == 3);
+  CHECK(first[0].message.warm_up_per_second_tenths == 405);
+  CHECK(first[0].message.service == request::ServiceTagOf("patio"));
+  CHECK(sent(&f, 4, 405).empty());
+  // A new start of one upstream.
+  f.records[0].incarnation_ms = 2000;
+  f.sink.sent.clear();
+  f.router.OnUpstreamRecords(f.records, f.now, f.now);
+  CHECK(f.sink.SentOfKind(HopKind::kServiceLimits).size() == 1);
+  CHECK(sent(&f, 5, 200).size() == 3);
+}
+
 // Late replies to searches that had ended added flows without a limit.
 TEST_CASE("entry_router: a reply without a search adds no flow") {
   Fixture f;
--- a/packages/connection/test/identity_tracker_test.cc
+++ b/packages/connection/test/identity_tracker_test.cc
@@ -51,6 +51,20 @@
   CHECK(tracker.current()->incarnation_ms == 200);
 }
 
+// Each change of the identity writes the sidecar's record in the store.
+TEST_CASE("identity_tracker: the warm-up does not change the identity") {
+  IdentityTracker tracker;
+  auto heartbeat = Heartbeat(100, 1);
+  heartbeat.warm_up_left = std::chrono::milliseconds(9000);
+  CHECK(Accepts(&tracker, heartbeat));
+  CHECK(Accepts(&tracker, Heartbeat(100, 2)));
+  const auto before = tracker.current();
+  heartbeat.sequence = 3;
+  heartbeat.warm_up_left = std::chrono::milliseconds(8000);
+  CHECK(Accepts(&tracker, heartbeat));
+  CHECK(tracker.current() == before);
+}
+
 TEST_CASE(
     "identity_tracker: a new incarnation is accepted with a lower sequence "
     "number") {
--- a/packages/connection/test/upstream_gate_test.cc
+++ b/packages/connection/test/upstream_gate_test.cc
@@ -74,7 +74,9 @@
 constexpr milliseconds kLeaseDuration{1750};
 
 struct Fixture {
-  explicit Fixture(uint64_t incarnation_ms = kStartedAfterSidecar) {
+  explicit Fixture(uint64_t incarnation_ms = kStartedAfterSidecar,
+                   WarmUpLimit warm_up = WarmUpLimit())
+      : gate("patio", kLeaseDuration, &sink, warm_up) {
     AnnounceIdentity(incarnation_ms);
   }
 
@@ -179,10 +181,93 @@
 
   Sink sink;
   TimePoint now{std::chrono::hours(1)};
-  UpstreamGate<Sink> gate{"patio", kLeaseDuration, &sink};
+  UpstreamGate<Sink> gate;
   uint64_t sequence = 0;
 };
 
+// The upstream is cold for ten seconds and bears ten first packets a second.
+struct ColdFixture : Fixture {
+  explicit ColdFixture(WarmUpLimit limit = WarmUpLimit(5))
+      : Fixture(kStartedAfterSidecar, limit) {
+    AnnounceIdentity(kStartedAfterSidecar, false, 100);
+    HeartbeatWithWarmUp(milliseconds(10000));
+    request::HopMessage message;
+    message.kind = HopKind::kServiceLimits;
+    message.service = request::ServiceTagOf("patio");
+    message.warm_up_per_second_tenths = 100;
+    gate.OnHopMessage(kEntry, message, now);
+  }
+
+  void HeartbeatWithWarmUp(milliseconds left) {
+    gate.OnHeartbeat({"patio", {"i-1", kStartedAfterSidecar}, ++sequence}, now,
+                     now, left);
+  }
+  std::optional<uint8_t> ReportedAllowance() {
+    request::HopMessage hello;
+    hello.kind = HopKind::kHello;
+    gate.OnHopMessage(kEntry, hello, now);
+    return sink.last(HopKind::kLoad).load.warm_up_allowance;
+  }
+};
+
+TEST_CASE(
+    "upstream_gate: a first packet beyond the allowance of a cold upstream is "
+    "returned with a report of it") {
+  ColdFixture f;
+  f.ReceiveFromCaller(f.CallerSyn(1));
+  CHECK(f.sink.delivered == 0);
+  CHECK(f.sink.last(HopKind::kReturned).reason == ReturnReason::kQueueFull);
+  CHECK(f.sink.last(HopKind::kLoad).load.warm_up_allowance == 0);
+  CHECK(std::count_if(f.sink.decisions.begin(), f.sink.decisions.end(),
+                      [](const GateDecision& it) {
+                        return it.verdict == GateVerdict::kWarmUpLimited;
+                      }) == 1);
+  f.now += milliseconds(200);
+  CHECK(f.ReportedAllowance() == 2);
+  f.ReceiveFromCaller(f.CallerSyn(2));
+  CHECK(f.sink.delivered == 1);
+  // Today's rule, in a deployment without the setting.
+  ColdFixture unlimited{WarmUpLimit()};
+  unlimited.ReceiveFromCaller(unlimited.CallerSyn(1));
+  CHECK(unlimited.sink.delivered == 1);
+  CHECK_FALSE(unlimited.ReportedAllowance());
+}
+
+TEST_CASE(
+    "upstream_gate: a final offer to a cold upstream waits for its turn") {
+  ColdFixture f;
+  f.ReceiveFromCaller(f.CallerSyn(1), "patio", /*final_offer=*/true);
+  CHECK(f.gate.waiting() == 1);
+  f.AdvanceTime(milliseconds(50));
+  CHECK(f.sink.delivered == 0);
+  f.AdvanceTime(milliseconds(100));
+  CHECK(f.sink.delivered == 1);
+}
+
+// Callers retransmit first packets twice; copies used up the allowance.
+TEST_CASE("upstream_gate: copies of a first packet count once in a warm-up") {
+  ColdFixture f;
+  f.now += milliseconds(300);
+  f.ReceiveFromCaller(f.CallerSyn(1));
+  f.ReceiveFromCaller(f.CallerSyn(1));
+  CHECK(f.sink.delivered == 2);
+  CHECK(f.ReportedAllowance() == 2);
+}
+
+TEST_CASE("upstream_gate: a suspension adds no warm-up allowance") {
+  ColdFixture f;
+  f.gate.OnSuspension(milliseconds(1000), f.now);
+  CHECK(f.ReportedAllowance() == 0);
+}
+
+TEST_CASE("upstream_gate: a warm upstream has no allowance and no limit") {
+  ColdFixture f;
+  f.HeartbeatWithWarmUp(milliseconds(0));
+  f.ReceiveFromCaller(f.CallerSyn(1));
+  CHECK(f.sink.delivered == 1);
+  CHECK_FALSE(f.ReportedAllowance());
+}
+
 TEST_CASE("upstream_gate: a packet for another service is not delivered") {
   Fixture f;
   f.ReceiveFromCaller(f.CallerSyn(1), "evidencia");
--- a/packages/process/include/kumquatvalve/process/sidecar_node.h
+++ b/packages/process/include/kumquatvalve/process/sidecar_node.h
@@ -287,7 +287,8 @@
 
   // Logs when the limit for a cold upstream begins, gets another rate or ends.
   void ReportWarmUp() {
-    const bool limiting = gate_.warm_up().limiting();
+    const bool limiting =
+        gate_.warm_up().limiting() && gate_.identity().incarnation_ms != 0;
     const auto tenths = gate_.warm_up().per_second_tenths();
     const bool same_rate = !limiting || tenths == reported_warm_up_tenths_;
     if (limiting == reported_warm_up_ && same_rate) {
--- a/packages/version/test/node_settings_test.cc
+++ b/packages/version/test/node_settings_test.cc
@@ -77,6 +77,22 @@
       ParseErrors(kEntry + "upstream:\n  address_reuse_s: 2\n").empty());
 }
 
+// The template leaves empty lines where a deployment has no warm-up.
+TEST_CASE("node_settings: the slack of the warm-up is optional") {
+  std::vector<SettingsError> errors;
+  const auto without =
+      ParseNodeSettings(kSidecar + "\n\n", "node.yaml", &errors);
+  REQUIRE(without);
+  CHECK_FALSE(without->upstream->warm_up_slack);
+  const auto with = ParseNodeSettings(kSidecar + "\n  warm_up:\n    slack: 5\n",
+                                      "node.yaml", &errors);
+  REQUIRE(with);
+  CHECK(with->upstream->warm_up_slack == 5);
+  CHECK(ParseErrors(kSidecar + "  warm_up:\n    slack: -1\n").front().code ==
+        ResultCode::kOutOfRange);
+  CHECK_FALSE(ParseErrors(kSidecar + "  warm_up:\n    slak: 5\n").empty());
+}
+
 TEST_CASE("node_settings: peers are optional") {
   std::vector<SettingsError> errors;
   const auto alone = ParseNodeSettings(kEntry, "node.yaml", &errors);
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -114,7 +114,12 @@
         return value
 
     def section(match):
-        entries = lookup(match[1], fields)
+        try:
+            entries = lookup(match[1], fields)
+        except KeyError:
+            return ""
+        if not isinstance(entries, list):
+            return match[2] if entries else ""
         parts = []
         for i, entry in enumerate(entries):
             text = match[2].replace("{{.}}", str(entry))
