--- a/packages/connection/include/kumquatvalve/connection/gate_decision.h
+++ b/packages/connection/include/kumquatvalve/connection/gate_decision.h
@@ -58,10 +58,9 @@
 
 constexpr std::string_view Name(GateVerdict verdict) {
   constexpr std::array<std::string_view, kGateVerdicts> kNames = {
-      "admitted",       "returned",     "adopted",      "probed",
-      "not_held",       "lost",         "unresponsive", "responsive",
-      "waiting",        "earlier_flow", "trial",        "lease",
-      "warm_up_limited"};
+      "admitted", "returned",     "adopted",        "probed",  "not_held",
+      "lost",     "unresponsive", "responsive",     "waiting", "earlier_flow",
+      "trial",    "lease",        "warm_up_limited"};
   return kNames[static_cast<size_t>(verdict)];
 }
 
--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -92,8 +92,7 @@
   /// @param sent_after the heartbeat was sent at this time or later.
   /// @param warm_up_left time for which the upstream is still cold.
   void OnHeartbeat(const HeartbeatId& heartbeat, TimePoint sent_after,
-                   TimePoint now,
-                   std::chrono::milliseconds warm_up_left = {}) {
+                   TimePoint now, std::chrono::milliseconds warm_up_left = {}) {
     heartbeat_at_ = now;
     warm_up_.OnHeartbeat(heartbeat.start.time_ms, warm_up_left, now);
     lease_.OnHeartbeat(heartbeat, sent_after, now);
