--- a/packages/connection/test/warm_up_replay_test.cc
+++ b/packages/connection/test/warm_up_replay_test.cc
@@ -163,6 +163,7 @@
       const auto views =
           entries_[entry].Candidates(request::ServiceTagOf("patio"), {}, now_);
       std::vector<PlacementCandidate> candidates;
+      candidates.reserve(views.size());
       for (const UpstreamView* it : views) {
         candidates.push_back(it->Candidate());
       }
