--- a/apps/kumquatvalved/main.cc
+++ b/apps/kumquatvalved/main.cc
@@ -3,6 +3,7 @@
 #include <absl/flags/usage.h>
 
 #include <algorithm>
+#include <array>
 #include <cstdlib>
 #include <iostream>
 #include <string>
@@ -23,6 +24,12 @@
           "changes; for "
           "tests and for a process without an object API");
 
+ABSL_FLAG(std::string, evacuation_apply_ms, "",
+          "store, entry: the setting of this name; empty: as in the file");
+ABSL_FLAG(std::string, warm_up_slack, "",
+          "store, sidecar: the setting upstream.warm_up.slack; empty: as in "
+          "the file");
+
 namespace kumquatvalve::daemon {
 namespace {
 
@@ -37,6 +44,9 @@
     "store\n"
     "  --role=entry|sidecar    fleet: must match the role in the settings\n"
     "  --settings=FILE         YAML settings\n"
+    "  --evacuation_apply_ms=N store, entry: follows zone evacuations\n"
+    "  --warm_up_slack=N       store, sidecar: limits first packets to cold "
+    "upstreams\n"
     "  --static_tables=FILE    fleet: JSON tables instead of the control "
     "channel\n";
 
@@ -50,7 +60,11 @@
 int Main() {
   const std::string control = absl::GetFlag(FLAGS_control);
   if (control == "store") {
-    return platform::RunNode(absl::GetFlag(FLAGS_settings));
+    const std::array<version::SettingOverride, 2> overrides = {{
+        {"evacuation_apply_ms", absl::GetFlag(FLAGS_evacuation_apply_ms)},
+        {"upstream.warm_up.slack", absl::GetFlag(FLAGS_warm_up_slack)},
+    }};
+    return platform::RunNode(absl::GetFlag(FLAGS_settings), overrides);
   }
 #ifdef KUMQUATVALVE_FLEET
   if (control == "fleet") {
--- a/packages/connection/include/kumquatvalve/connection/upstream_set.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_set.h
@@ -45,7 +45,8 @@
 
   /// The upstreams of a service that accept new flows and are not excluded;
   /// when there are none, those that accept them as a last resort. Upstreams of
-  /// evacuated zones are left out in both cases.
+  /// evacuated zones are left out in both cases, and cold ones that may get no
+  /// more first packets while there are others.
   std::vector<UpstreamView*> Candidates(
       request::ServiceTag service, std::span<const request::Endpoint> excluded,
       TimePoint now);
--- a/packages/version/include/kumquatvalve/version/node_settings.h
+++ b/packages/version/include/kumquatvalve/version/node_settings.h
@@ -4,7 +4,9 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "kumquatvalve/request/endpoint.h"
@@ -28,6 +30,9 @@
   /// Time between the end of an upstream and the next use of its address, at
   /// least.
   std::chrono::milliseconds address_reuse{2000};
+  /// First packets that a cold upstream may get in a second beyond those of its
+  /// service's rate; empty when first packets are not limited.
+  std::optional<double> warm_up_slack;
 };
 
 /// Settings of a process that gets its configuration from the platform's store.
@@ -63,16 +68,28 @@
   std::optional<std::chrono::milliseconds> evacuation_apply_limit;
 };
 
+/// A setting that the command line gives in place of the file, for deployments
+/// whose settings template cannot leave a key out.
+struct SettingOverride {
+  /// Full key with its sections, for example "upstream.warm_up.slack".
+  std::string_view key;
+  /// Value as in a file; empty to keep what the file says.
+  std::string value;
+};
+
 /// Reads and validates a settings file of a store-controlled process.
+/// @param overrides validated as if the file had them.
 /// @return nothing when the file has errors; all of them are appended to
 ///   `errors`.
 std::optional<NodeSettings> LoadNodeSettings(
-    const std::string& file, std::vector<SettingsError>* errors);
+    const std::string& file, std::span<const SettingOverride> overrides,
+    std::vector<SettingsError>* errors);
 
 /// Like `LoadNodeSettings`, but from a text; `file` is the file name in errors.
 std::optional<NodeSettings> ParseNodeSettings(
     const std::string& text, const std::string& file,
-    std::vector<SettingsError>* errors);
+    std::vector<SettingsError>* errors,
+    std::span<const SettingOverride> overrides = {});
 
 }  // namespace kumquatvalve::version
 
--- a/packages/version/src/node_settings.cc
+++ b/packages/version/src/node_settings.cc
@@ -103,6 +103,13 @@
             "address by another one, at least, s. An upstream that is silent "
             "for almost that time gets no first packets until its next "
             "heartbeat."},
+    {.key = "upstream.warm_up.slack",
+     .type = Type::kNumber,
+     .min_value = 0,
+     .max_value = 10000,
+     .only_for_role = "sidecar",
+     .doc = "First packets that a cold upstream may get in a second beyond "
+            "those of its service's rate. Without it they are not limited."},
     {.key = "log_level",
      .type = Type::kChoice,
      .default_text = "info",
@@ -116,15 +123,33 @@
      .doc = "Maximum time from a termination signal to the exit, s."},
 });
 
+void Apply(const SettingOverride& setting, YAML::Node root) {
+  if (setting.value.empty() || !root.IsMap()) {
+    return;
+  }
+  std::string_view rest = setting.key;
+  for (size_t n = rest.find('.'); n != std::string_view::npos;
+       n = rest.find('.')) {
+    // Assigning to a node changes the map; `reset` refers to the child.
+    root.reset(root[std::string(rest.substr(0, n))]);
+    rest.remove_prefix(n + 1);
+  }
+  root[std::string(rest)] = setting.value;
+}
+
 }  // namespace
 
 std::optional<NodeSettings> ParseNodeSettings(
     const std::string& text, const std::string& file,
-    std::vector<SettingsError>* errors) {
-  const auto root = ParseYaml(text, file, errors);
+    std::vector<SettingsError>* errors,
+    std::span<const SettingOverride> overrides) {
+  auto root = ParseYaml(text, file, errors);
   if (!root) {
     return std::nullopt;
   }
+  for (const SettingOverride& it : overrides) {
+    Apply(it, *root);
+  }
   const auto reader =
       SettingsReader::Validate(*root, kNodeSchema, file, "", errors);
   if (!reader) {
@@ -163,14 +188,19 @@
   upstream.service = request::ServiceName(reader->Text("upstream.service"));
   upstream.address_reuse = std::chrono::milliseconds(std::lround(
       reader->Number("upstream.address_reuse_s") * kMillisecondsPerSecond));
+  if (reader->Has("upstream.warm_up.slack")) {
+    upstream.warm_up_slack = reader->Number("upstream.warm_up.slack");
+  }
   settings.upstream = upstream;
   return settings;
 }
 
 std::optional<NodeSettings> LoadNodeSettings(
-    const std::string& file, std::vector<SettingsError>* errors) {
+    const std::string& file, std::span<const SettingOverride> overrides,
+    std::vector<SettingsError>* errors) {
   const auto text = ReadSettingsFile(file, errors);
-  return text ? ParseNodeSettings(*text, file, errors) : std::nullopt;
+  return text ? ParseNodeSettings(*text, file, errors, overrides)
+              : std::nullopt;
 }
 
 }  // namespace kumquatvalve::version
--- a/packages/version/test/node_settings_test.cc
+++ b/packages/version/test/node_settings_test.cc
@@ -90,6 +90,22 @@
       ParseErrors(kEntry + "upstream:\n  address_reuse_s: 2\n").empty());
 }
 
+// The template leaves empty lines where a deployment has no warm-up.
+TEST_CASE("node_settings: the slack of the warm-up is optional") {
+  std::vector<SettingsError> errors;
+  const auto without =
+      ParseNodeSettings(kSidecar + "\n\n", "node.yaml", &errors);
+  REQUIRE(without);
+  CHECK_FALSE(without->upstream->warm_up_slack);
+  const auto with = ParseNodeSettings(kSidecar + "\n  warm_up:\n    slack: 5\n",
+                                      "node.yaml", &errors);
+  REQUIRE(with);
+  CHECK(with->upstream->warm_up_slack == 5);
+  CHECK(ParseErrors(kSidecar + "  warm_up:\n    slack: -1\n").front().code ==
+        ResultCode::kOutOfRange);
+  CHECK_FALSE(ParseErrors(kSidecar + "  warm_up:\n    slak: 5\n").empty());
+}
+
 TEST_CASE("node_settings: peers are optional") {
   std::vector<SettingsError> errors;
   const auto alone = ParseNodeSettings(kEntry, "node.yaml", &errors);
@@ -123,5 +139,39 @@
   CHECK(ParseErrors(text).front().code != ResultCode::kOk);
 }
 
+// Guards against a flag that is ignored, or one without a value that removes
+// what the file says or fails the start.
+TEST_CASE(
+    "node_settings: the command line gives settings in place of the file") {
+  const std::string sidecar = R"(
+role: sidecar
+instance: s-1
+availability_zone: zone-a
+packets: "10.0.0.2:8172"
+status: "10.0.0.2:8167"
+store: "http://10.0.0.9:9000"
+upstream:
+  packets: "10.0.0.2:8165"
+  outbound: "10.0.0.2:8162"
+  announce: "10.0.0.2:8166"
+  service: orders
+)";
+  std::vector<SettingsError> errors;
+  const std::vector<SettingOverride> slack = {{"upstream.warm_up.slack", "5"}};
+  const auto with = ParseNodeSettings(sidecar, "s.yaml", &errors, slack);
+  REQUIRE(with);
+  CHECK(with->upstream->warm_up_slack == std::optional(5.0));
+  CHECK(with->upstream->service.text() == "orders");
+  const std::vector<SettingOverride> empty = {{"upstream.warm_up.slack", ""}};
+  const auto without = ParseNodeSettings(sidecar, "s.yaml", &errors, empty);
+  REQUIRE(without);
+  CHECK_FALSE(without->upstream->warm_up_slack);
+  const std::vector<SettingOverride> bad = {{"upstream.warm_up.slack", "x"}};
+  CHECK_FALSE(ParseNodeSettings(sidecar, "s.yaml", &errors, bad));
+  const std::vector<SettingOverride> other_role = {
+      {"evacuation_apply_ms", "5000"}};
+  CHECK_FALSE(ParseNodeSettings(sidecar, "s.yaml", &errors, other_role));
+}
+
 }  // namespace
 }  // namespace kumquatvalve::version
