--- a/packages/connection/include/kumquatvalve/connection/entry_decision.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_decision.h
@@ -44,15 +44,18 @@
   /// A packet of an open flow has no route. The routes are read again before
   /// the flow is reset, since another instance may know a newer version.
   kRouteUnknown,
+  /// Every upstream of the service has reported that it cannot serve a new flow
+  /// within the route's timeout.
+  kServiceFull,
 };
 
-inline constexpr size_t kEntryVerdicts = 11;
+inline constexpr size_t kEntryVerdicts = 12;
 
 constexpr std::string_view Name(EntryVerdict verdict) {
   constexpr std::array<std::string_view, kEntryVerdicts> kNames = {
-      "placed",        "placed_again", "no_route",     "no_upstream",
-      "overloaded",    "not_taken",    "located",      "not_located",
-      "route_removed", "flow_lost",    "route_unknown"};
+      "placed",        "placed_again", "no_route",      "no_upstream",
+      "overloaded",    "not_taken",    "located",       "not_located",
+      "route_removed", "flow_lost",    "route_unknown", "service_full"};
   return kNames[static_cast<size_t>(verdict)];
 }
 
--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -16,6 +16,7 @@
 
 #include "kumquatvalve/connection/address_history.h"
 #include "kumquatvalve/connection/admission_policy.h"
+#include "kumquatvalve/connection/early_refusal.h"
 #include "kumquatvalve/connection/entry_decision.h"
 #include "kumquatvalve/connection/flow_locator.h"
 #include "kumquatvalve/connection/hello_schedule.h"
@@ -66,6 +67,7 @@
     }
     history_.OnRoutes(routes_.get(), *routes, now);
     routes_ = std::move(routes);
+    uses_priorities_ = version::HasDifferentPriorities(*routes_);
     return true;
   }
 
@@ -303,6 +305,7 @@
     bool final_offer = false;
     Milliseconds wait_limit{0};
     Milliseconds target_remaining{0};
+    std::optional<uint8_t> priority;
   };
 
   struct Flow {
@@ -316,6 +319,11 @@
     bool open = false;
     bool ended = false;
     TimePoint last_packet_at;
+    /// When the caller sent its first packet, as far as that is known.
+    TimePoint arrived_at;
+    /// The last offer was final, and the flow may wait at the sidecar until
+    /// then.
+    std::optional<TimePoint> waits_until;
     /// Sidecars that the first packet was offered to.
     std::vector<request::Endpoint> offered;
     /// The offered sidecars that may still have the packet or that accept no
@@ -378,6 +386,7 @@
     Flow flow;
     flow.caller_isn = packet.sequence;
     flow.last_packet_at = now;
+    flow.arrived_at = now - packet.waited;
     Offer(flow, packet, route, EntryVerdict::kPlaced, now);
   }
 
@@ -397,7 +406,9 @@
   void Offer(Flow flow, const request::ParsedPacket& packet,
              const version::Route& route, EntryVerdict verdict, TimePoint now) {
     EntryDecision decision;
-    UpstreamView* view = ChooseCandidate(route, flow.excluded, &decision, now);
+    const Milliseconds waited = WaitedAtOffer(flow, packet, now);
+    UpstreamView* view =
+        ChooseCandidate(route, flow.excluded, waited, &decision, now);
     if (view == nullptr || flow.offer_count >= kMaxOffers) {
       decision.flow = packet.flow;
       decision.route = &route;
@@ -424,14 +435,22 @@
     decision.sidecar = flow.holder;
     decision.report_age = view->ReportAge(now);
     decision.route_revision = routes_->revision;
+    const Milliseconds wait_limit = WaitLimit(waited, route);
+    flow.waits_until.reset();
+    if (final_offer) {
+      // A flow that does not wait for a slot may wait for a heartbeat.
+      flow.waits_until =
+          now + (wait_limit.count() == 0 ? kMaxOpeningWait : wait_limit);
+    }
     const request::Endpoint holder = flow.holder;
     const request::ServiceTag service = flow.service;
     flows_.insert_or_assign(packet.flow, std::move(flow));
     Forward(holder, service, packet.bytes,
             {.final_offer = final_offer,
-             .wait_limit = WaitLimit(packet, route),
-             .target_remaining = std::max(
-                 Milliseconds(0), route.target_latency - packet.waited)},
+             .wait_limit = wait_limit,
+             .target_remaining =
+                 std::max(Milliseconds(0), route.target_latency - waited),
+             .priority = PriorityOf(route)},
             now);
     sink_->RecordDecision(decision);
   }
@@ -440,13 +459,30 @@
   // caller still waits, since a flow that opens late leaves too little time for
   // the response. Bulk transfers do not wait: they spend most of their time on
   // the network, so work in progress says little about free slots.
-  static Milliseconds WaitLimit(const request::ParsedPacket& packet,
+  static Milliseconds WaitLimit(Milliseconds waited,
                                 const version::Route& route) {
     return route.shape == version::TrafficShape::kBulk
                ? Milliseconds(0)
-               : std::max(kMinWait,
-                          std::min(kMaxOpeningWait - packet.waited,
-                                   (route.timeout - packet.waited) / 2));
+               : std::max(kMinWait, std::min(kMaxOpeningWait - waited,
+                                             (route.timeout - waited) / 2));
+  }
+
+  // How long the caller has been waiting. With priorities, the time that the
+  // flow waited at sidecars that returned it counts too.
+  Milliseconds WaitedAtOffer(const Flow& flow,
+                             const request::ParsedPacket& packet,
+                             TimePoint now) const {
+    return uses_priorities_
+               ? std::chrono::duration_cast<Milliseconds>(now - flow.arrived_at)
+               : packet.waited;
+  }
+
+  // Sent only when the routes differ in priority: other deployments send the
+  // same messages as without priorities.
+  std::optional<uint8_t> PriorityOf(const version::Route& route) const {
+    return uses_priorities_ ? std::optional<uint8_t>(std::min<uint32_t>(
+                                  route.priority, request::kMaxHopPriority))
+                            : std::nullopt;
   }
 
   // Ends the flow with a reset, but only when every offer was returned:
@@ -482,7 +518,8 @@
 
   UpstreamView* ChooseCandidate(const version::Route& route,
                                 std::span<const request::Endpoint> excluded,
-                                EntryDecision* decision, TimePoint now) {
+                                Milliseconds waited, EntryDecision* decision,
+                                TimePoint now) {
     decision->verdict =
         excluded.empty() ? EntryVerdict::kNoUpstream : EntryVerdict::kNotTaken;
     const version::RouteShare* share = PickShare(route);
@@ -499,7 +536,12 @@
     settings.zone_cost = route.shape == version::TrafficShape::kBulk
                              ? kBulkCrossZoneCost
                              : kShortCrossZoneCost;
-    settings.max_expected_wait = route.timeout;
+    if (!uses_priorities_) {
+      settings.max_expected_wait = route.timeout;
+    } else if (IsServiceFull(ReportsOf(views, now), route.timeout - waited)) {
+      decision->verdict = EntryVerdict::kServiceFull;
+      return nullptr;
+    }
     const Placement placement =
         ChooseUpstream(candidates, settings, NextRandom());
     decision->expected_wait = placement.expected_wait;
@@ -514,6 +556,16 @@
     return views[*placement.chosen];
   }
 
+  static std::vector<ReportedUpstream> ReportsOf(
+      const std::vector<UpstreamView*>& views, TimePoint now) {
+    std::vector<ReportedUpstream> reports;
+    reports.reserve(views.size());
+    for (const UpstreamView* it : views) {
+      reports.push_back({it->load(), it->ReportAge(now)});
+    }
+    return reports;
+  }
+
   // No upstream of a service takes flows, or one is of another service than its
   // record says. Load pattern: upstreams of a service are replaced while the
   // connection of the call that waits for changes of their records delivers
@@ -536,7 +588,8 @@
     const bool alive = view != nullptr && view->tag() == flow->service &&
                        view->AcceptsNewFlows(now, false);
     if (flow->open || alive) {
-      Forward(flow->holder, flow->service, packet.bytes, {}, now);
+      Forward(flow->holder, flow->service, packet.bytes,
+              {.priority = PriorityOf(route)}, now);
       return;
     }
     Flow retried = *flow;
@@ -567,9 +620,23 @@
     ++flow.return_count;
     flow.last_return_reason = reason;
     if (reason == request::ReturnReason::kQueueFull) {
+      if (flow.waits_until && now >= *flow.waits_until) {
+        // It waited for as long as it may.
+        EntryDecision decision;
+        decision.verdict = EntryVerdict::kNotTaken;
+        decision.flow = packet->flow;
+        decision.route = route;
+        decision.sidecar = from;
+        decision.reason = reason;
+        Refuse(flow, *packet, decision);
+        return;
+      }
       // The sidecar's queue may still have the shortest expected wait, so the
-      // flow may be offered to it again.
-      std::erase(flow.excluded, from);
+      // flow may be offered to it again. With priorities, the return of a final
+      // offer means that all flows in the queue are worth more.
+      if (!uses_priorities_ || !flow.waits_until) {
+        std::erase(flow.excluded, from);
+      }
     }
     Offer(std::move(flow), *packet, *route, EntryVerdict::kPlacedAgain, now);
   }
@@ -644,6 +711,7 @@
     message.final_offer = options.final_offer;
     message.max_wait = options.wait_limit;
     message.target_remaining = options.target_remaining;
+    message.priority = options.priority;
     view->OnMessageSent(now);
     sink_->Send(sidecar, message, packet);
   }
@@ -696,6 +764,8 @@
   uint64_t random_;
   S* sink_;
   std::shared_ptr<const version::RouteMap> routes_;
+  /// The routes differ in priority.
+  bool uses_priorities_ = false;
   AddressHistory history_;
   UpstreamSet upstreams_;
   absl::flat_hash_map<request::FlowKey, Flow, request::FlowKeyHash> flows_;
--- a/packages/connection/include/kumquatvalve/connection/gate_decision.h
+++ b/packages/connection/include/kumquatvalve/connection/gate_decision.h
@@ -49,15 +49,23 @@
   /// The state of the lease on the upstream's address changed; see
   /// `LeaseState`.
   kLease,
+  /// A waiting first packet was returned since a full queue gave its place to
+  /// another one.
+  kEvicted,
+  /// A waiting first packet was returned since it can no longer be delivered
+  /// before its deadline.
+  kUnservable,
+  /// A waiting first packet was returned at its deadline.
+  kWaitExpired,
 };
 
-inline constexpr size_t kGateVerdicts = 12;
+inline constexpr size_t kGateVerdicts = 15;
 
 constexpr std::string_view Name(GateVerdict verdict) {
   constexpr std::array<std::string_view, kGateVerdicts> kNames = {
-      "admitted", "returned",     "adopted",      "probed",
-      "not_held", "lost",         "unresponsive", "responsive",
-      "waiting",  "earlier_flow", "trial",        "lease"};
+      "admitted", "returned",     "adopted",    "probed",     "not_held",
+      "lost",     "unresponsive", "responsive", "waiting",    "earlier_flow",
+      "trial",    "lease",        "evicted",    "unservable", "wait_expired"};
   return kNames[static_cast<size_t>(verdict)];
 }
 
--- a/packages/connection/include/kumquatvalve/connection/offer_decision.h
+++ b/packages/connection/include/kumquatvalve/connection/offer_decision.h
@@ -32,6 +32,14 @@
 /// work as it has slots, so that no slot is idle while a flow opens.
 bool HasRoom(const OfferState& state);
 
+/// How long a flow waits for its turn behind the `waiting` ones. `slots` must
+/// not be 0.
+std::chrono::microseconds ExpectedOpeningWait(const OfferState& state);
+
+/// How many flows can wait so that each of them is served within `wait_limit`;
+/// no limit when the number of slots is unknown.
+size_t QueueRoom(const OfferState& state, std::chrono::milliseconds wait_limit);
+
 /// Decides what happens to an offered first packet. Letting flows wait is for
 /// the return of all callers at once, as after a power failure: upstreams with
 /// full queues reject first packets, whereas a flow that waits here is
--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -23,6 +23,7 @@
 #include "kumquatvalve/connection/offer_decision.h"
 #include "kumquatvalve/connection/placement.h"
 #include "kumquatvalve/connection/responsiveness.h"
+#include "kumquatvalve/connection/retry_budget.h"
 #include "kumquatvalve/connection/service_time_estimate.h"
 #include "kumquatvalve/connection/waiting_flows.h"
 #include "kumquatvalve/request/flow_key.h"
@@ -260,6 +261,7 @@
     CheckResponsiveness(now);
     AdmitWaiting(now);
     RefreshServiceTime(now);
+    ReturnOverdue(now);
     load_.open_flows = static_cast<uint32_t>(CountOpenFlows());
     for (auto& [entry, state] : entries_) {
       if (state.report_due && now - state.last_report_at >= kReportInterval) {
@@ -465,11 +467,9 @@
       Return(entry, packet, request::ReturnReason::kUnresponsive);
       return;
     }
-    const TimePoint on_time_until = OnTimeUntil(message, now);
     OfferState state = CurrentOfferState();
-    if (now < on_time_until) {
-      state.waiting = waiting_.CountOnTime(now);
-    }
+    state.waiting =
+        waiting_.CountAhead(MakeWaitingFlow(entry, message, packet, now), now);
     switch (DecideOffer(state, message.final_offer, message.max_wait)) {
       case OfferAction::kDeliver:
         Admit(entry, packet, now);
@@ -480,8 +480,16 @@
         }
         break;
       case OfferAction::kReturn:
+        // It may be worth more than a flow that waits.
+        if (message.final_offer && message.priority &&
+            KeepWaiting(entry, message, packet, now)) {
+          return;
+        }
         break;
     }
+    if (message.final_offer && message.priority) {
+      refused_callers_.OnRefused(packet.flow.caller, now);
+    }
     // The entry instance needs the current load for its next choice; its last
     // report may be older than the requests in progress.
     SendReport(entry);
@@ -517,19 +525,35 @@
            now - lease_lost_at_.value_or(now) < lease_.duration();
   }
 
-  // Adds a first packet to the queue.
-  // @return false when the queue is full.
-  bool KeepWaiting(const request::Endpoint& entry,
-                   const request::HopMessage& message,
-                   const request::ParsedPacket& packet, TimePoint now) {
+  // An offered first packet as it would wait, without its bytes.
+  WaitingFlow MakeWaitingFlow(const request::Endpoint& entry,
+                              const request::HopMessage& message,
+                              const request::ParsedPacket& packet,
+                              TimePoint now) {
     WaitingFlow flow;
     flow.flow = packet.flow;
     flow.caller_isn = packet.sequence;
     flow.entry = entry;
     flow.deadline = now + message.max_wait;
     flow.on_time_until = OnTimeUntil(message, now);
+    flow.priority = message.priority;
+    flow.retry =
+        message.priority && refused_callers_.IsRetry(packet.flow.caller, now);
+    return flow;
+  }
+
+  // Adds a first packet to the queue, and returns the one that it replaces.
+  // @return false when the queue has no room for it.
+  bool KeepWaiting(const request::Endpoint& entry,
+                   const request::HopMessage& message,
+                   const request::ParsedPacket& packet, TimePoint now) {
+    WaitingFlow flow = MakeWaitingFlow(entry, message, packet, now);
     flow.bytes.assign(packet.bytes.begin(), packet.bytes.end());
-    const bool added = waiting_.Push(std::move(flow));
+    const auto [added, evicted] = waiting_.Add(
+        std::move(flow), CurrentOfferState(), message.max_wait, now);
+    if (evicted) {
+      ReturnQueued(*evicted, GateVerdict::kEvicted, now);
+    }
     if (added) {
       RecordVerdict(GateVerdict::kWaiting, packet.flow);
     }
@@ -620,10 +644,33 @@
     while (!response_late && !waiting_.empty() &&
            lease_.State(now) == LeaseState::kHeld &&
            HasRoom(CurrentOfferState())) {
-      if (const auto it = waiting_.Pop(now)) {
-        Admit(it->entry, it->ToPacket(), now);
+      const auto it = waiting_.Pop(now);
+      if (!it) {
+        break;
       }
+      Admit(it->entry, it->ToPacket(), now);
+    }
+  }
+
+  // Returns the waiting first packets that cannot be delivered in time.
+  void ReturnOverdue(TimePoint now) {
+    for (const WaitingFlow& it : waiting_.TakeExpired(now)) {
+      ReturnQueued(it, GateVerdict::kWaitExpired, now);
+    }
+    for (const WaitingFlow& it :
+         waiting_.TakeUnservable(CurrentOfferState(), now)) {
+      ReturnQueued(it, GateVerdict::kUnservable, now);
+    }
+  }
+
+  // Returns a first packet that waited and is not delivered.
+  void ReturnQueued(const WaitingFlow& flow, GateVerdict verdict,
+                    TimePoint now) {
+    if (flow.priority) {
+      refused_callers_.OnRefused(flow.flow.caller, now);
     }
+    Return(flow.entry, flow.ToPacket(), request::ReturnReason::kQueueFull,
+           verdict);
   }
 
   void ReturnWaiting(request::ReturnReason reason) {
@@ -759,9 +806,9 @@
 
   // Returns a first packet to the entry instance that offered it.
   void Return(const request::Endpoint& entry,
-              const request::ParsedPacket& packet,
-              request::ReturnReason reason) {
-    RecordVerdict(GateVerdict::kReturned, packet.flow, reason);
+              const request::ParsedPacket& packet, request::ReturnReason reason,
+              GateVerdict verdict = GateVerdict::kReturned) {
+    RecordVerdict(verdict, packet.flow, reason);
     if (entry == request::Endpoint()) {
       return;
     }
@@ -978,6 +1025,8 @@
   TimePoint last_entry_message_at_;
   TimePoint last_upstream_packet_at_;
   WaitingFlows waiting_;
+  /// Callers whose flows were returned after a final offer.
+  RetryBudget refused_callers_;
   /// Recently admitted flows, in the order of admission.
   std::deque<AdmittedFlow> admitted_;
   /// Moving mean of the share of admitted flows that sent a request.
--- a/packages/connection/src/offer_decision.cc
+++ b/packages/connection/src/offer_decision.cc
@@ -1,5 +1,7 @@
 #include "kumquatvalve/connection/offer_decision.h"
 
+#include <limits>
+
 #include "kumquatvalve/connection/placement.h"
 
 namespace kumquatvalve::connection {
@@ -10,10 +12,9 @@
 // per slot keeps the slots busy. Upstreams queue at least that much.
 constexpr size_t kWorkPerSlot = 2;
 
-std::chrono::microseconds ExpectedOpeningWait(const OfferState& state) {
-  const auto service = state.service_time.count() != 0 ? state.service_time
-                                                       : kDefaultServiceTime;
-  return service * (state.waiting + 1) / state.slots;
+std::chrono::microseconds ServiceTimeOf(const OfferState& state) {
+  return state.service_time.count() != 0 ? state.service_time
+                                         : kDefaultServiceTime;
 }
 
 }  // namespace
@@ -22,6 +23,20 @@
   return state.slots == 0 || state.work < kWorkPerSlot * state.slots;
 }
 
+std::chrono::microseconds ExpectedOpeningWait(const OfferState& state) {
+  return ServiceTimeOf(state) * (state.waiting + 1) / state.slots;
+}
+
+size_t QueueRoom(const OfferState& state,
+                 std::chrono::milliseconds wait_limit) {
+  if (state.slots == 0) {
+    return std::numeric_limits<size_t>::max();
+  }
+  const std::chrono::microseconds time = wait_limit;
+  return static_cast<size_t>(time.count()) * state.slots /
+         static_cast<size_t>(ServiceTimeOf(state).count());
+}
+
 OfferAction DecideOffer(const OfferState& state, bool final_offer,
                         std::chrono::milliseconds wait_limit) {
   if (state.slots == 0) {
--- a/packages/connection/test/waiting_flows_test.cc
+++ b/packages/connection/test/waiting_flows_test.cc
@@ -29,11 +29,20 @@
   CHECK_FALSE(flows.Pop(kNow));
 }
 
-TEST_CASE("waiting_flows: a flow whose deadline has passed is skipped") {
+// Guards against flows that are dropped silently: their callers wait for their
+// time limit.
+TEST_CASE(
+    "waiting_flows: a flow whose deadline has passed is skipped and can be "
+    "returned") {
   WaitingFlows flows;
   flows.Push(Flow(1, milliseconds(100)));
   flows.Push(Flow(2, milliseconds(300)));
+  CHECK(flows.TakeExpired(kNow + milliseconds(99)).empty());
   CHECK(flows.Pop(kNow + milliseconds(100))->flow.caller.port == 2);
+  CHECK_FALSE(flows.Pop(kNow + milliseconds(100)));
+  const auto expired = flows.TakeExpired(kNow + milliseconds(100));
+  REQUIRE(expired.size() == 1);
+  CHECK(expired[0].flow.caller.port == 1);
   CHECK(flows.empty());
 }
 
@@ -45,9 +54,12 @@
     flow.on_time_until = kNow + milliseconds(100 * port);
     flows.Push(std::move(flow));
   }
-  CHECK(flows.CountOnTime(kNow) == 2);
+  WaitingFlow on_time = Flow(9, milliseconds(500));
+  CHECK(flows.CountAhead(on_time, kNow) == 3);
+  on_time.on_time_until = kNow + milliseconds(400);
+  CHECK(flows.CountAhead(on_time, kNow) == 2);
   CHECK(flows.Pop(kNow)->flow.caller.port == 2);
-  CHECK(flows.CountOnTime(kNow + milliseconds(300)) == 0);
+  CHECK(flows.CountAhead(on_time, kNow + milliseconds(300)) == 0);
   // It waited too long to be on time, so the order of arrival holds.
   CHECK(flows.Pop(kNow + milliseconds(300))->flow.caller.port == 1);
   CHECK(flows.Pop(kNow + milliseconds(300))->flow.caller.port == 3);
--- a/packages/process/include/kumquatvalve/process/log_event.h
+++ b/packages/process/include/kumquatvalve/process/log_event.h
@@ -26,6 +26,8 @@
   kUpstreamChanged = 1203,
   kHeartbeatLate = 1204,
   kHeartbeatUnreadable = 1205,
+  kServiceFull = 1211,
+  kWaitingReturned = 1212,
   kTableWritten = 1301,
   kTableWriteFailed = 1302,
   kTableUnreadable = 1303,
--- a/packages/process/src/decision_log.cc
+++ b/packages/process/src/decision_log.cc
@@ -16,6 +16,23 @@
             : "";
 }
 
+LogEvent EventOf(connection::EntryVerdict verdict) {
+  return verdict == connection::EntryVerdict::kServiceFull
+             ? LogEvent::kServiceFull
+             : LogEvent::kFlowDecided;
+}
+
+LogEvent EventOf(connection::GateVerdict verdict) {
+  switch (verdict) {
+    case connection::GateVerdict::kEvicted:
+    case connection::GateVerdict::kUnservable:
+    case connection::GateVerdict::kWaitExpired:
+      return LogEvent::kWaitingReturned;
+    default:
+      return LogEvent::kUpstreamDecided;
+  }
+}
+
 }  // namespace
 
 std::string FlowId(const request::FlowKey& flow) {
@@ -51,7 +68,7 @@
     return;
   }
   logger_->Log(
-      sampled ? LogLevel::kInfo : LogLevel::kWarning, LogEvent::kFlowDecided,
+      sampled ? LogLevel::kInfo : LogLevel::kWarning, EventOf(decision.verdict),
       Name(decision.verdict),
       {{"flow", FlowId(decision.flow)},
        {"route", decision.route == nullptr ? "" : decision.route->name},
@@ -77,8 +94,8 @@
     return;
   }
   logger_->Log(
-      sampled ? LogLevel::kInfo : LogLevel::kWarning,
-      LogEvent::kUpstreamDecided, Name(decision.verdict),
+      sampled ? LogLevel::kInfo : LogLevel::kWarning, EventOf(decision.verdict),
+      Name(decision.verdict),
       {{"flow", FlowId(decision.flow)},
        {"reason", std::string(Name(decision.reason))},
        {"in_progress", std::to_string(decision.in_progress)},
--- a/packages/process/src/log_event.cc
+++ b/packages/process/src/log_event.cc
@@ -34,6 +34,10 @@
       return "heartbeat_late";
     case LogEvent::kHeartbeatUnreadable:
       return "heartbeat_unreadable";
+    case LogEvent::kServiceFull:
+      return "service_full";
+    case LogEvent::kWaitingReturned:
+      return "waiting_returned";
     case LogEvent::kTableWritten:
       return "table_written";
     case LogEvent::kTableWriteFailed:
--- a/packages/process/test/decision_log_test.cc
+++ b/packages/process/test/decision_log_test.cc
@@ -139,6 +139,30 @@
   CHECK(lines[1]["other_service_age_ms"] == "7");
 }
 
+// Guards against flows that a full queue returned unnoticed among all others.
+TEST_CASE(
+    "decision_log: refusals under overload have event numbers of their own") {
+  CapturedOutput output;
+  const Logger logger("s-1", LogFormat::kJson, LogLevel::kInfo);
+  DecisionLog log(&logger);
+  const DecisionLog::TimePoint now{std::chrono::hours(1)};
+  for (const auto verdict :
+       {connection::GateVerdict::kEvicted, connection::GateVerdict::kUnservable,
+        connection::GateVerdict::kWaitExpired}) {
+    connection::GateDecision decision;
+    decision.verdict = verdict;
+    log.LogGateDecision(decision, now);
+    CHECK(log.GateCount(verdict) == 1);
+  }
+  log.LogEntryDecision(Decision(EntryVerdict::kServiceFull), now);
+  const auto lines = output.Lines();
+  REQUIRE(lines.size() == 4);
+  CHECK(lines[0]["event"] == 1212);
+  CHECK(lines[1]["msg"] == "unservable");
+  CHECK(lines[2]["event"] == 1212);
+  CHECK(lines[3]["event"] == 1211);
+}
+
 TEST_CASE("decision_log: a slow log reader does not block the process") {
   int pipe_fds[2] = {};
   REQUIRE(pipe(pipe_fds) == 0);
--- a/packages/version/include/kumquatvalve/version/route_map.h
+++ b/packages/version/include/kumquatvalve/version/route_map.h
@@ -67,6 +67,13 @@
   }
 };
 
+/// Whether some routes are more urgent than others.
+inline bool HasDifferentPriorities(const RouteMap& map) {
+  return std::any_of(map.routes.begin(), map.routes.end(), [&](const auto& it) {
+    return it.second.priority != map.routes.begin()->second.priority;
+  });
+}
+
 /// Record of one upstream in the store: written by the sidecar beside it, read
 /// by the entry instances.
 struct UpstreamRecord {
