--- a/packages/connection/include/kumquatvalve/connection/offer_decision.h
+++ b/packages/connection/include/kumquatvalve/connection/offer_decision.h
@@ -32,6 +32,13 @@
 /// work as it has slots, so that no slot is idle while a flow opens.
 bool HasRoom(const OfferState& state);
 
+/// Longest expected time from the arrival of a request at the upstream to its
+/// response: `HasRoom` lets one other request per slot go ahead of it. Load
+/// pattern: in a lasting overload the oldest flow that can be on time goes
+/// first, so that each flow that is assumed to get a slot at once is late.
+std::chrono::microseconds ExpectedTimeInUpstream(
+    std::chrono::microseconds service_time);
+
 /// How long a flow waits for its turn behind the `waiting` ones. `slots` must
 /// not be 0.
 std::chrono::microseconds ExpectedOpeningWait(const OfferState& state);
--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -448,7 +448,9 @@
     if (load_.service_time_us != 0) {
       service_time = std::chrono::microseconds{load_.service_time_us};
     }
-    return now + message.target_remaining - kOpeningTime - service_time;
+    return now + message.target_remaining - kOpeningTime -
+           (message.priority ? ExpectedTimeInUpstream(service_time)
+                             : service_time);
   }
 
   void OnFirstPacket(const request::Endpoint& entry,
--- a/packages/connection/include/kumquatvalve/connection/waiting_eviction.h
+++ b/packages/connection/include/kumquatvalve/connection/waiting_eviction.h
@@ -14,6 +14,13 @@
 /// these classes may use the same share of the queue's room.
 inline constexpr size_t kOtherClassInterval = 4;
 
+/// The flows among which `ChooseLeastWorth` chooses.
+enum class EvictionScope {
+  kAll,
+  /// Those that can still be on time; the new flow is one of them.
+  kOnTime,
+};
+
 /// Chooses the flow that a full queue gives up for a new one. Load patterns: a
 /// burst of low-priority flows that takes the room of urgent ones; one caller
 /// address or entry instance that floods the queue.
@@ -24,12 +31,12 @@
 /// left. A flood of the most urgent class must not take the turns of the other
 /// classes: while these use at most their share of the room, the flow is of the
 /// most urgent class.
-/// @param room number of flows that can be served in time.
+/// @param room number of flows within `scope` that can be served in time.
 /// @return the index of the flow in `flows`; empty when `newcomer` is worth
 ///   least.
-std::optional<size_t> ChooseEvicted(const std::deque<WaitingFlow>& flows,
-                                    const WaitingFlow& newcomer, size_t room,
-                                    TimePoint now);
+std::optional<size_t> ChooseLeastWorth(const std::deque<WaitingFlow>& flows,
+                                       const WaitingFlow& newcomer, size_t room,
+                                       EvictionScope scope, TimePoint now);
 
 }  // namespace kumquatvalve::connection
 
--- a/packages/connection/include/kumquatvalve/connection/waiting_flows.h
+++ b/packages/connection/include/kumquatvalve/connection/waiting_flows.h
@@ -37,8 +37,11 @@
 
   /// Adds a flow when it can be served in time. When the flows that wait cannot
   /// all be served within `wait_limit`, the one that is worth least to its
-  /// caller is given up, which may be the new one. While no priority is known,
-  /// only the number of flows is limited, and a full queue takes no new flow.
+  /// caller is given up, which may be the new one. When more flows count as on
+  /// time than can be served on time, the one of them that is worth least
+  /// counts as late from now on: otherwise a flood of new flows takes the turns
+  /// of the others before the queue is full. While no priority is known, only
+  /// the number of flows is limited, and a full queue takes no new flow.
   /// @param state the upstream's work; `waiting` is not used.
   /// @param wait_limit how long the new flow may wait.
   Addition Add(WaitingFlow flow, const OfferState& state,
@@ -74,6 +77,8 @@
   static constexpr size_t kMaxWaiting = 1000;
 
   bool HasPriorities() const;
+  void LimitOnTime(WaitingFlow* newcomer, const OfferState& state,
+                   TimePoint now);
 
   std::deque<WaitingFlow> flows_;
   /// Turns of the most urgent class since the last one of another class, while
--- a/packages/connection/src/offer_decision.cc
+++ b/packages/connection/src/offer_decision.cc
@@ -23,6 +23,11 @@
   return state.slots == 0 || state.work < kWorkPerSlot * state.slots;
 }
 
+std::chrono::microseconds ExpectedTimeInUpstream(
+    std::chrono::microseconds service_time) {
+  return kWorkPerSlot * service_time;
+}
+
 std::chrono::microseconds ExpectedOpeningWait(const OfferState& state) {
   return ServiceTimeOf(state) * (state.waiting + 1) / state.slots;
 }
--- a/packages/connection/src/waiting_eviction.cc
+++ b/packages/connection/src/waiting_eviction.cc
@@ -1,6 +1,5 @@
 #include "kumquatvalve/connection/waiting_eviction.h"
 
-#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <tuple>
@@ -32,13 +31,19 @@
 
 }  // namespace
 
-std::optional<size_t> ChooseEvicted(const std::deque<WaitingFlow>& flows,
-                                    const WaitingFlow& newcomer, size_t room,
-                                    TimePoint now) {
+std::optional<size_t> ChooseLeastWorth(const std::deque<WaitingFlow>& flows,
+                                       const WaitingFlow& newcomer, size_t room,
+                                       EvictionScope scope, TimePoint now) {
+  const auto in_scope = [&](const WaitingFlow& it) {
+    return scope == EvictionScope::kAll || it.IsOnTime(now);
+  };
   FlowCounts counts;
   counts.Add(newcomer);
-  std::for_each(flows.begin(), flows.end(),
-                [&](const WaitingFlow& it) { counts.Add(it); });
+  for (const WaitingFlow& it : flows) {
+    if (in_scope(it)) {
+      counts.Add(it);
+    }
+  }
   const uint8_t evicted_class = EvictedClass(counts, room);
   // Larger for flows that are evicted sooner.
   const auto rank = [&](const WaitingFlow& it) {
@@ -50,6 +55,9 @@
   std::optional<size_t> evicted;
   auto evicted_rank = rank(newcomer);
   for (size_t i = 0; i < flows.size(); ++i) {
+    if (!in_scope(flows[i])) {
+      continue;
+    }
     if (const auto it = rank(flows[i]); it > evicted_rank) {
       evicted = i;
       evicted_rank = it;
--- a/packages/connection/src/waiting_flows.cc
+++ b/packages/connection/src/waiting_flows.cc
@@ -53,9 +53,11 @@
     result.added = Push(std::move(flow));
     return result;
   }
+  LimitOnTime(&flow, state, now);
   const size_t room = std::min(kMaxWaiting, QueueRoom(state, wait_limit));
   if (flows_.size() >= room) {
-    const auto evicted = ChooseEvicted(flows_, flow, room, now);
+    const auto evicted =
+        ChooseLeastWorth(flows_, flow, room, EvictionScope::kAll, now);
     if (!evicted) {
       return result;
     }
@@ -77,6 +79,27 @@
   return result;
 }
 
+void WaitingFlows::LimitOnTime(WaitingFlow* newcomer, const OfferState& state,
+                               TimePoint now) {
+  if (!newcomer->IsOnTime(now)) {
+    return;
+  }
+  size_t on_time = 0;
+  TimePoint latest = newcomer->on_time_until;
+  for (const WaitingFlow& it : flows_) {
+    on_time += it.IsOnTime(now) ? 1 : 0;
+    latest = std::max(latest, it.on_time_until);
+  }
+  const size_t room = QueueRoom(
+      state,
+      std::chrono::duration_cast<std::chrono::milliseconds>(latest - now));
+  if (on_time >= room) {
+    const auto late =
+        ChooseLeastWorth(flows_, *newcomer, room, EvictionScope::kOnTime, now);
+    (late ? flows_[*late] : *newcomer).on_time_until = now;
+  }
+}
+
 bool WaitingFlows::Contains(const request::FlowKey& flow) const {
   return std::any_of(flows_.begin(), flows_.end(),
                      [&](const WaitingFlow& it) { return it.flow == flow; });
--- a/packages/connection/test/entry_router_test.cc
+++ b/packages/connection/test/entry_router_test.cc
@@ -1317,6 +1317,96 @@
   CHECK(f.sink.resets.size() == 1);
 }
 
+// Routes of which the second one is more urgent than the first.
+std::shared_ptr<version::RouteMap> RoutesWithPriorities() {
+  auto map = Routes(1);
+  version::Route urgent = map->routes[kServiceAddress];
+  map->routes[kServiceAddress].priority = 300;
+  map->routes[MakeEndpoint("198.18.0.1:445")] = urgent;
+  return map;
+}
+
+void ReturnLast(Fixture* f) {
+  const Sent last = f->LastPacket();
+  f->router.OnHopMessage(last.to,
+                         {.kind = HopKind::kReturned,
+                          .service = request::ServiceTagOf("patio"),
+                          .reason = ReturnReason::kQueueFull},
+                         last.packet, f->now);
+}
+
+// Guards against other bytes in deployments whose routes are equally urgent.
+TEST_CASE("entry_router: priorities are sent only when the routes differ") {
+  Fixture same;
+  same.ReceiveSyn(1);
+  CHECK_FALSE(same.LastPacket().message.priority);
+  Fixture f(RoutesWithPriorities(), {Record(1, "a")});
+  f.ReceiveSyn(1);
+  CHECK(f.LastPacket().message.priority == 254);
+  f.ReceiveSyn(1);
+  CHECK(f.LastPacket().message.priority == 254);
+  f.ReceiveData(1);
+  CHECK_FALSE(f.LastPacket().message.priority);
+}
+
+// Guards against callers that are held until their time limit by offers in
+// circles: today's rule offers a flow that has waited all its time once more.
+TEST_CASE(
+    "entry_router: a flow that waited as long as it may is reset at once") {
+  for (const bool waited : {false, true}) {
+    Fixture f;
+    f.ReceiveSyn(1);
+    ReturnLast(&f);
+    ReturnLast(&f);
+    REQUIRE(f.LastPacket().message.final_offer);
+    f.AdvanceTime(milliseconds(waited ? 500 : 450));
+    const size_t before = f.sink.SentOfKind(HopKind::kPacket).size();
+    ReturnLast(&f);
+    CHECK(f.sink.resets.size() == (waited ? 1 : 0));
+    CHECK(f.sink.SentOfKind(HopKind::kPacket).size() ==
+          before + (waited ? 0 : 1));
+  }
+}
+
+TEST_CASE(
+    "entry_router: with priorities, the time that a flow waited counts, and a "
+    "queue that returned it is not asked again") {
+  Fixture f(RoutesWithPriorities(), {Record(1, "a"), Record(2, "a")});
+  f.ReceiveSyn(1);
+  ReturnLast(&f);
+  ReturnLast(&f);
+  const Sent first = f.LastPacket();
+  CHECK(first.message.max_wait == milliseconds(500));
+  f.AdvanceTime(milliseconds(200));
+  ReturnLast(&f);
+  CHECK(f.LastPacket().to != first.to);
+  CHECK(f.LastPacket().message.max_wait == milliseconds(400));
+  ReturnLast(&f);
+  CHECK(f.sink.resets.size() == 1);
+}
+
+// Guards against refusals by old reports, which today's rule gives, and against
+// offers to a service that is full everywhere.
+TEST_CASE(
+    "entry_router: a flow to a full service is refused without an offer") {
+  for (const bool priorities : {false, true}) {
+    Fixture f(priorities ? RoutesWithPriorities() : Routes(1),
+              {Record(1, "a"), Record(2, "a")});
+    const request::UpstreamLoad full{.in_progress = 400};
+    f.ReportLoad(1, full);
+    f.ReceiveSyn(1);
+    CHECK(f.sink.resets.empty());
+    f.ReportLoad(2, full);
+    f.ReceiveSyn(2);
+    CHECK(f.sink.resets.size() == 1);
+    CHECK(f.sink.verdicts.back() == (priorities ? EntryVerdict::kServiceFull
+                                                : EntryVerdict::kOverloaded));
+    f.now += milliseconds(501);
+    f.ReceiveSyn(3);
+    CHECK(f.sink.resets.size() == (priorities ? 1 : 2));
+  }
+}
+
 // Late replies to searches that had ended added flows without a limit.
 TEST_CASE("entry_router: a reply without a search adds no flow") {
   Fixture f;
--- a/packages/connection/test/upstream_gate_test.cc
+++ b/packages/connection/test/upstream_gate_test.cc
@@ -870,6 +870,60 @@
   CHECK(count_delivered() >= 8);
 }
 
+// Guards against flows that are dropped silently at their deadline: their
+// callers waited for their time limit.
+TEST_CASE("upstream_gate: a waiting flow is returned at its deadline") {
+  Fixture f;
+  for (uint16_t port = 1; port <= 5; ++port) {
+    f.ReceiveFromCaller(f.CallerSyn(port), "patio", /*final_offer=*/true);
+    f.ReceiveFromUpstream(f.SynAck(port));
+    f.ReceiveFromCaller(f.CallerData(port));
+  }
+  REQUIRE(f.gate.waiting() == 1);
+  f.AdvanceTime(milliseconds(1150));
+  CHECK(f.sink.count(HopKind::kReturned) == 0);
+  f.AdvanceTime(milliseconds(50));
+  CHECK(f.sink.last(HopKind::kReturned).reason == ReturnReason::kQueueFull);
+  CHECK(f.sink.decisions.back().verdict == GateVerdict::kWaitExpired);
+  CHECK(f.gate.waiting() == 0);
+}
+
+// Guards against urgent flows that wait behind others, and against flows that
+// wait although their turn cannot come before their deadline.
+TEST_CASE("upstream_gate: flows with a priority are served in its order") {
+  Fixture f;
+  const auto offer = [&](uint16_t port, uint8_t priority, milliseconds limit) {
+    request::HopMessage message;
+    message.kind = HopKind::kPacket;
+    message.service = request::ServiceTagOf("patio");
+    message.final_offer = true;
+    message.max_wait = limit;
+    message.priority = priority;
+    f.gate.OnCallerPacket(kEntry, message, f.CallerSyn(port), f.now);
+  };
+  for (uint16_t port = 1; port <= 4; ++port) {
+    offer(port, 1, milliseconds(300));
+    f.ReceiveFromUpstream(f.SynAck(port));
+    f.ReceiveFromCaller(f.CallerData(port));
+  }
+  offer(5, 1, milliseconds(600));
+  offer(6, 0, milliseconds(600));
+  offer(7, 1, milliseconds(310));
+  f.ReceiveFromUpstream(f.ResponseData(1));
+  CHECK(f.sink.decisions.back().verdict == GateVerdict::kAdmitted);
+  CHECK(f.sink.decisions.back().flow.caller.port == 6);
+  f.ReceiveFromUpstream(f.SynAck(6));
+  f.ReceiveFromCaller(f.CallerData(6));
+  f.AdvanceTime(milliseconds(250));
+  f.ReceiveFromUpstream(f.ResponseData(2));
+  CHECK(f.sink.decisions.back().flow.caller.port == 5);
+  CHECK(f.sink.count(HopKind::kReturned) == 0);
+  // The mean of both requests is 125 ms, and flow 7 may wait for 10 ms more.
+  f.AdvanceTime(milliseconds(50));
+  CHECK(f.sink.decisions.back().verdict == GateVerdict::kUnservable);
+  CHECK(f.sink.last(HopKind::kReturned).reason == ReturnReason::kQueueFull);
+}
+
 TEST_CASE("upstream_gate: waiting flows are returned when a drain starts") {
   Fixture f;
   for (uint16_t port = 1; port <= 5; ++port) {
--- a/packages/connection/test/waiting_flows_test.cc
+++ b/packages/connection/test/waiting_flows_test.cc
@@ -65,6 +65,56 @@
   CHECK(flows.Pop(kNow + milliseconds(300))->flow.caller.port == 3);
 }
 
+WaitingFlow Urgent(uint16_t port, uint8_t priority) {
+  WaitingFlow flow = Flow(port, milliseconds(500));
+  flow.priority = priority;
+  return flow;
+}
+
+TEST_CASE(
+    "waiting_flows: one turn in four goes to the oldest flow of another "
+    "class") {
+  WaitingFlows flows;
+  flows.Push(Urgent(1, 2));
+  flows.Push(Urgent(2, 1));
+  for (uint16_t port = 3; port <= 8; ++port) {
+    flows.Push(Urgent(port, 0));
+  }
+  flows.Push(Flow(9, milliseconds(500)));
+  std::vector<int> order;
+  while (const auto it = flows.Pop(kNow)) {
+    order.push_back(it->flow.caller.port);
+  }
+  CHECK(order == std::vector{3, 4, 5, 1, 6, 7, 8, 2, 9});
+}
+
+// Guards against a full queue that returns an urgent flow since it is the
+// newest one.
+TEST_CASE("waiting_flows: a full queue gives up the flow that is worth least") {
+  // Room for 4 flows.
+  const OfferState state{.slots = 2, .service_time = milliseconds(50)};
+  const auto add = [&](WaitingFlows* flows, const WaitingFlow& flow) {
+    const auto [added, evicted] =
+        flows->Add(flow, state, milliseconds(100), kNow);
+    return std::pair(added, evicted ? evicted->flow.caller.port : 0);
+  };
+  WaitingFlows flows;
+  for (const uint16_t port : {1, 2, 3, 4}) {
+    CHECK(add(&flows, Urgent(port, port == 2 ? 4 : 1)) == std::pair(true, 0));
+  }
+  CHECK(add(&flows, Urgent(5, 0)) == std::pair(true, 2));
+  CHECK(add(&flows, Urgent(6, 4)) == std::pair(false, 0));
+  // Flows of the most urgent class do not take the share of the others.
+  CHECK(add(&flows, Urgent(7, 0)) == std::pair(true, 1));
+  CHECK(add(&flows, Urgent(8, 0)) == std::pair(true, 3));
+  CHECK(add(&flows, Urgent(9, 0)) == std::pair(false, 0));
+  // Without priorities the queue takes the flow up to its limit, as before.
+  WaitingFlows unknown;
+  for (uint16_t port = 1; port <= 5; ++port) {
+    CHECK(add(&unknown, Flow(port, milliseconds(500))).first);
+  }
+}
+
 struct ReplayResult {
   int on_time = 0;
   int served = 0;
