--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -25,6 +25,7 @@
 #include "kumquatvalve/connection/responsiveness.h"
 #include "kumquatvalve/connection/retry_budget.h"
 #include "kumquatvalve/connection/service_time_estimate.h"
+#include "kumquatvalve/connection/slot_progress.h"
 #include "kumquatvalve/connection/waiting_flows.h"
 #include "kumquatvalve/request/flow_key.h"
 #include "kumquatvalve/request/hop_message.h"
@@ -659,8 +660,10 @@
     for (const WaitingFlow& it : waiting_.TakeExpired(now)) {
       ReturnQueued(it, GateVerdict::kWaitExpired, now);
     }
-    for (const WaitingFlow& it :
-         waiting_.TakeUnservable(CurrentOfferState(), now)) {
+    OfferState state = CurrentOfferState();
+    state.service_time =
+        std::max(state.service_time, slot_progress_.LowerBound(now));
+    for (const WaitingFlow& it : waiting_.TakeUnservable(state, now)) {
       ReturnQueued(it, GateVerdict::kUnservable, now);
     }
   }
@@ -870,6 +873,7 @@
     flow->request_started_at = now;
     ++load_.in_progress;
     flow->in_progress_at_start = load_.in_progress;
+    slot_progress_.OnChange(load_.in_progress, load_.slots, false, now);
   }
 
   void ClearOpening(Flow* flow) {
@@ -887,6 +891,7 @@
     }
     flow->busy = false;
     --load_.in_progress;
+    slot_progress_.OnChange(load_.in_progress, load_.slots, true, now);
     if (!flow->admitted) {
       // The upstream may have received the request before this process started,
       // so the measured time would be too short.
@@ -915,6 +920,7 @@
     if (flow->busy) {
       flow->busy = false;
       --load_.in_progress;
+      slot_progress_.OnRemoved(load_.in_progress, load_.slots);
     }
   }
 
@@ -1011,6 +1017,7 @@
   S* sink_;
   request::UpstreamLoad load_;
   ServiceTimeEstimate service_time_;
+  SlotProgress slot_progress_;
   std::optional<TimePoint> heartbeat_at_;
   std::optional<TimePoint> other_service_at_;
   std::optional<TimePoint> first_tick_at_;
