--- a/packages/connection/test/early_refusal_test.cc
+++ b/packages/connection/test/early_refusal_test.cc
@@ -23,10 +23,12 @@
 bool IsRefusedToday(const std::vector<ReportedUpstream>& upstreams,
                     milliseconds time_left) {
   std::vector<PlacementCandidate> candidates;
+  candidates.reserve(upstreams.size());
   for (const ReportedUpstream& it : upstreams) {
-    candidates.push_back({.slots = 2.0,
-                          .in_progress = double(it.load.in_progress),
-                          .service_time = milliseconds(22)});
+    candidates.push_back(
+        {.slots = 2.0,
+         .in_progress = static_cast<double>(it.load.in_progress),
+         .service_time = milliseconds(22)});
   }
   return !ChooseUpstream(candidates, {.max_expected_wait = time_left}, 1)
               .chosen;
