--- a/packages/connection/include/kumquatvalve/connection/gate_decision.h
+++ b/packages/connection/include/kumquatvalve/connection/gate_decision.h
@@ -52,15 +52,24 @@
   /// A first packet exceeded what a cold upstream may get; it is returned or
   /// waits.
   kWarmUpLimited,
+  /// A waiting first packet was returned since a full queue gave its place to
+  /// another one.
+  kEvicted,
+  /// A waiting first packet was returned since it can no longer be delivered
+  /// before its deadline.
+  kUnservable,
+  /// A waiting first packet was returned at its deadline.
+  kWaitExpired,
 };
 
-inline constexpr size_t kGateVerdicts = 13;
+inline constexpr size_t kGateVerdicts = 16;
 
 constexpr std::string_view Name(GateVerdict verdict) {
   constexpr std::array<std::string_view, kGateVerdicts> kNames = {
-      "admitted", "returned",     "adopted",        "probed",  "not_held",
-      "lost",     "unresponsive", "responsive",     "waiting", "earlier_flow",
-      "trial",    "lease",        "warm_up_limited"};
+      "admitted",        "returned",     "adopted",      "probed",
+      "not_held",        "lost",         "unresponsive", "responsive",
+      "waiting",         "earlier_flow", "trial",        "lease",
+      "warm_up_limited", "evicted",      "unservable",   "wait_expired"};
   return kNames[static_cast<size_t>(verdict)];
 }
 
--- a/packages/connection/test/waiting_flows_test.cc
+++ b/packages/connection/test/waiting_flows_test.cc
@@ -29,11 +29,20 @@
   CHECK_FALSE(flows.Pop(kNow));
 }
 
-TEST_CASE("waiting_flows: a flow whose deadline has passed is skipped") {
+// Guards against flows that are dropped silently: their callers wait for their
+// time limit.
+TEST_CASE(
+    "waiting_flows: a flow whose deadline has passed is skipped and can be "
+    "returned") {
   WaitingFlows flows;
   flows.Push(Flow(1, milliseconds(100)));
   flows.Push(Flow(2, milliseconds(300)));
+  CHECK(flows.TakeExpired(kNow + milliseconds(99)).empty());
   CHECK(flows.Pop(kNow + milliseconds(100))->flow.caller.port == 2);
+  CHECK_FALSE(flows.Pop(kNow + milliseconds(100)));
+  const auto expired = flows.TakeExpired(kNow + milliseconds(100));
+  REQUIRE(expired.size() == 1);
+  CHECK(expired[0].flow.caller.port == 1);
   CHECK(flows.empty());
 }
 
@@ -45,14 +54,67 @@
     flow.on_time_until = kNow + milliseconds(100 * port);
     flows.Push(std::move(flow));
   }
-  CHECK(flows.CountOnTime(kNow) == 2);
+  WaitingFlow on_time = Flow(9, milliseconds(500));
+  CHECK(flows.CountAhead(on_time, kNow) == 3);
+  on_time.on_time_until = kNow + milliseconds(400);
+  CHECK(flows.CountAhead(on_time, kNow) == 2);
   CHECK(flows.Pop(kNow)->flow.caller.port == 2);
-  CHECK(flows.CountOnTime(kNow + milliseconds(300)) == 0);
+  CHECK(flows.CountAhead(on_time, kNow + milliseconds(300)) == 0);
   // It waited too long to be on time, so the order of arrival holds.
   CHECK(flows.Pop(kNow + milliseconds(300))->flow.caller.port == 1);
   CHECK(flows.Pop(kNow + milliseconds(300))->flow.caller.port == 3);
 }
 
+WaitingFlow Urgent(uint16_t port, uint8_t priority) {
+  WaitingFlow flow = Flow(port, milliseconds(500));
+  flow.priority = priority;
+  return flow;
+}
+
+TEST_CASE(
+    "waiting_flows: one turn in four goes to the oldest flow of another "
+    "class") {
+  WaitingFlows flows;
+  flows.Push(Urgent(1, 2));
+  flows.Push(Urgent(2, 1));
+  for (uint16_t port = 3; port <= 8; ++port) {
+    flows.Push(Urgent(port, 0));
+  }
+  flows.Push(Flow(9, milliseconds(500)));
+  std::vector<int> order;
+  while (const auto it = flows.Pop(kNow)) {
+    order.push_back(it->flow.caller.port);
+  }
+  CHECK(order == std::vector{3, 4, 5, 1, 6, 7, 8, 2, 9});
+}
+
+// Guards against a full queue that returns an urgent flow since it is the
+// newest one.
+TEST_CASE("waiting_flows: a full queue gives up the flow that is worth least") {
+  // Room for 4 flows.
+  const OfferState state{.slots = 2, .service_time = milliseconds(50)};
+  const auto add = [&](WaitingFlows* flows, const WaitingFlow& flow) {
+    const auto [added, evicted] =
+        flows->Add(flow, state, milliseconds(100), kNow);
+    return std::pair(added, evicted ? evicted->flow.caller.port : 0);
+  };
+  WaitingFlows flows;
+  for (const uint16_t port : {1, 2, 3, 4}) {
+    CHECK(add(&flows, Urgent(port, port == 2 ? 4 : 1)) == std::pair(true, 0));
+  }
+  CHECK(add(&flows, Urgent(5, 0)) == std::pair(true, 2));
+  CHECK(add(&flows, Urgent(6, 4)) == std::pair(false, 0));
+  // Flows of the most urgent class do not take the share of the others.
+  CHECK(add(&flows, Urgent(7, 0)) == std::pair(true, 1));
+  CHECK(add(&flows, Urgent(8, 0)) == std::pair(true, 3));
+  CHECK(add(&flows, Urgent(9, 0)) == std::pair(false, 0));
+  // Without priorities the queue takes the flow up to its limit, as before.
+  WaitingFlows unknown;
+  for (uint16_t port = 1; port <= 5; ++port) {
+    CHECK(add(&unknown, Flow(port, milliseconds(500))).first);
+  }
+}
+
 struct ReplayResult {
   int on_time = 0;
   int served = 0;
--- a/packages/process/include/kumquatvalve/process/log_event.h
+++ b/packages/process/include/kumquatvalve/process/log_event.h
@@ -27,6 +27,8 @@
   kHeartbeatLate = 1204,
   kHeartbeatUnreadable = 1205,
   kWarmUpChanged = 1210,
+  kServiceFull = 1211,
+  kWaitingReturned = 1212,
   kTableWritten = 1301,
   kTableWriteFailed = 1302,
   kTableUnreadable = 1303,
--- a/packages/process/src/decision_log.cc
+++ b/packages/process/src/decision_log.cc
@@ -25,6 +25,23 @@
              : std::string(Name(decision.reason));
 }
 
+LogEvent EventOf(connection::EntryVerdict verdict) {
+  return verdict == connection::EntryVerdict::kServiceFull
+             ? LogEvent::kServiceFull
+             : LogEvent::kFlowDecided;
+}
+
+LogEvent EventOf(connection::GateVerdict verdict) {
+  switch (verdict) {
+    case connection::GateVerdict::kEvicted:
+    case connection::GateVerdict::kUnservable:
+    case connection::GateVerdict::kWaitExpired:
+      return LogEvent::kWaitingReturned;
+    default:
+      return LogEvent::kUpstreamDecided;
+  }
+}
+
 }  // namespace
 
 std::string FlowId(const request::FlowKey& flow) {
@@ -60,7 +77,7 @@
     return;
   }
   logger_->Log(
-      sampled ? LogLevel::kInfo : LogLevel::kWarning, LogEvent::kFlowDecided,
+      sampled ? LogLevel::kInfo : LogLevel::kWarning, EventOf(decision.verdict),
       Name(decision.verdict),
       {{"flow", FlowId(decision.flow)},
        {"route", decision.route == nullptr ? "" : decision.route->name},
@@ -86,8 +103,8 @@
     return;
   }
   logger_->Log(
-      sampled ? LogLevel::kInfo : LogLevel::kWarning,
-      LogEvent::kUpstreamDecided, Name(decision.verdict),
+      sampled ? LogLevel::kInfo : LogLevel::kWarning, EventOf(decision.verdict),
+      Name(decision.verdict),
       {{"flow", FlowId(decision.flow)},
        {"reason", std::string(Name(decision.reason))},
        {"in_progress", std::to_string(decision.in_progress)},
--- a/packages/process/src/log_event.cc
+++ b/packages/process/src/log_event.cc
@@ -36,6 +36,10 @@
       return "heartbeat_unreadable";
     case LogEvent::kWarmUpChanged:
       return "warm_up_changed";
+    case LogEvent::kServiceFull:
+      return "service_full";
+    case LogEvent::kWaitingReturned:
+      return "waiting_returned";
     case LogEvent::kTableWritten:
       return "table_written";
     case LogEvent::kTableWriteFailed:
