--- a/packages/connection/include/kumquatvalve/connection/entry_decision.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_decision.h
@@ -10,6 +10,7 @@
 #include <span>
 #include <string_view>
 
+#include "kumquatvalve/connection/placement_subset.h"
 #include "kumquatvalve/request/flow_key.h"
 #include "kumquatvalve/request/hop_message.h"
 #include "kumquatvalve/request/packet.h"
@@ -68,6 +69,7 @@
   std::chrono::milliseconds report_age{0};
   /// Expected wait for a slot at the chosen upstream.
   std::chrono::microseconds expected_wait{0};
+  SubsetUse subset_use = SubsetUse::kNone;
   /// Store revision of the routes in force.
   uint64_t route_revision = 0;
   request::ReturnReason reason = request::ReturnReason::kNone;
--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -20,6 +20,7 @@
 #include "kumquatvalve/connection/flow_locator.h"
 #include "kumquatvalve/connection/hello_schedule.h"
 #include "kumquatvalve/connection/placement.h"
+#include "kumquatvalve/connection/placement_subset.h"
 #include "kumquatvalve/connection/stale_records.h"
 #include "kumquatvalve/connection/upstream_set.h"
 #include "kumquatvalve/request/flow_key.h"
@@ -397,7 +398,8 @@
   void Offer(Flow flow, const request::ParsedPacket& packet,
              const version::Route& route, EntryVerdict verdict, TimePoint now) {
     EntryDecision decision;
-    UpstreamView* view = ChooseCandidate(route, flow.excluded, &decision, now);
+    UpstreamView* view =
+        ChooseCandidate(packet.flow, route, flow.excluded, &decision, now);
     if (view == nullptr || flow.offer_count >= kMaxOffers) {
       decision.flow = packet.flow;
       decision.route = &route;
@@ -480,7 +482,8 @@
     return nullptr;
   }
 
-  UpstreamView* ChooseCandidate(const version::Route& route,
+  UpstreamView* ChooseCandidate(const request::FlowKey& flow,
+                                const version::Route& route,
                                 std::span<const request::Endpoint> excluded,
                                 EntryDecision* decision, TimePoint now) {
     decision->verdict =
@@ -492,16 +495,20 @@
     const auto views = upstreams_.Candidates(share->tag, excluded, now);
     std::vector<PlacementCandidate> candidates;
     candidates.reserve(views.size());
+    std::vector<request::Endpoint> sidecars;
+    sidecars.reserve(views.size());
     for (const UpstreamView* it : views) {
       candidates.push_back(it->Candidate());
+      sidecars.push_back(it->sidecar());
     }
     PlacementSettings settings;
     settings.zone_cost = route.shape == version::TrafficShape::kBulk
                              ? kBulkCrossZoneCost
                              : kShortCrossZoneCost;
     settings.max_expected_wait = route.timeout;
-    const Placement placement =
-        ChooseUpstream(candidates, settings, NextRandom());
+    const auto [placement, subset_use] =
+        ChooseFromSubset(flow, sidecars, candidates, settings, NextRandom());
+    decision->subset_use = subset_use;
     decision->expected_wait = placement.expected_wait;
     if (!placement.chosen) {
       if (!views.empty()) {
--- a/packages/connection/include/kumquatvalve/connection/placement.h
+++ b/packages/connection/include/kumquatvalve/connection/placement.h
@@ -42,6 +42,9 @@
   std::optional<size_t> chosen;
   /// Expected wait for a slot at the candidate with the least cost.
   std::chrono::microseconds expected_wait{0};
+  /// Whether the chosen candidate is expected to have a free slot and is not
+  /// known to be slower than its peers.
+  bool ready = false;
 };
 
 /// The time that a new request is expected to wait for a free slot.
@@ -58,6 +61,12 @@
 Placement ChooseUpstream(std::span<const PlacementCandidate> candidates,
                          const PlacementSettings& settings, uint64_t random);
 
+/// As above, but chooses among the candidates with the indexes `members` only.
+/// The others count as peers for the median service time.
+Placement ChooseUpstream(std::span<const PlacementCandidate> candidates,
+                         std::span<const size_t> members,
+                         const PlacementSettings& settings, uint64_t random);
+
 }  // namespace kumquatvalve::connection
 
 #endif  // KUMQUATVALVE_CONNECTION_PLACEMENT_H_
--- a/packages/connection/src/placement.cc
+++ b/packages/connection/src/placement.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <numeric>
 #include <vector>
 
 namespace kumquatvalve::connection {
@@ -91,15 +92,23 @@
 
 Placement ChooseUpstream(std::span<const PlacementCandidate> candidates,
                          const PlacementSettings& settings, uint64_t random) {
+  std::vector<size_t> all(candidates.size());
+  std::iota(all.begin(), all.end(), 0);
+  return ChooseUpstream(candidates, all, settings, random);
+}
+
+Placement ChooseUpstream(std::span<const PlacementCandidate> candidates,
+                         std::span<const size_t> members,
+                         const PlacementSettings& settings, uint64_t random) {
   Placement placement;
-  if (candidates.empty()) {
+  if (members.empty()) {
     return placement;
   }
   const Microseconds median = MedianServiceTime(candidates);
   size_t best = 0;
   Microseconds best_cost = Microseconds::max();
   uint64_t best_tie = 0;
-  for (size_t i = 0; i < candidates.size(); ++i) {
+  for (const size_t i : members) {
     PlacementCandidate candidate = candidates[i];
     candidate.service_time =
         std::chrono::duration_cast<std::chrono::microseconds>(
@@ -111,6 +120,8 @@
       best_cost = cost;
       best_tie = tie;
       placement.expected_wait = ExpectedWait(candidate);
+      placement.ready = placement.expected_wait.count() == 0 &&
+                        candidate.service_time <= median;
     }
   }
   if (placement.expected_wait <= settings.max_expected_wait) {
--- a/packages/process/include/kumquatvalve/process/entry_node.h
+++ b/packages/process/include/kumquatvalve/process/entry_node.h
@@ -107,6 +107,7 @@
     log_.LogEntryDecision(decision, now_);
     if (decision.verdict == connection::EntryVerdict::kPlaced) {
       metrics_.OnPlacement(decision.expected_wait, decision.report_age);
+      metrics_.OnSubset(decision.subset_use);
     }
   }
 
--- a/packages/process/include/kumquatvalve/process/node_metrics.h
+++ b/packages/process/include/kumquatvalve/process/node_metrics.h
@@ -8,11 +8,14 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <array>
 #include <chrono>
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "kumquatvalve/connection/placement_subset.h"
 #include "kumquatvalve/process/decision_log.h"
 
 namespace kumquatvalve::process {
@@ -35,6 +38,10 @@
   /// @param report_age age of the load report that the decision used.
   void OnPlacement(std::chrono::microseconds expected_wait,
                    std::chrono::milliseconds report_age);
+  /// Counts how the candidates of a placement were limited.
+  void OnSubset(connection::SubsetUse use) {
+    subset_uses_[static_cast<size_t>(use)]->Increment();
+  }
 
   /// Counts an object of the store or of a peer, or a part of one, that was
   /// left out since it cannot be read.
@@ -57,6 +64,7 @@
   prometheus::Family<prometheus::Histogram>* store_calls_;
   prometheus::Histogram* expected_wait_;
   prometheus::Histogram* report_age_;
+  std::array<prometheus::Counter*, connection::kSubsetUses> subset_uses_;
   prometheus::Counter* unreadable_;
   prometheus::Counter* unexpected_errors_;
   prometheus::Gauge* flows_;
--- a/packages/process/src/node_metrics.cc
+++ b/packages/process/src/node_metrics.cc
@@ -39,6 +39,21 @@
               .Add({}, kLatencyBuckets);
 }
 
+std::array<prometheus::Counter*, connection::kSubsetUses> AddSubsetCounters(
+    prometheus::Registry* registry) {
+  auto& family =
+      prometheus::BuildCounter()
+          .Name("kumquatvalve_placement_subset_total")
+          .Help("Placements by use of the flow's preferred upstreams.")
+          .Register(*registry);
+  std::array<prometheus::Counter*, connection::kSubsetUses> counters{};
+  for (size_t i = 0; i < counters.size(); ++i) {
+    const auto use = static_cast<connection::SubsetUse>(i);
+    counters[i] = &family.Add({{"use", std::string(Name(use))}});
+  }
+  return counters;
+}
+
 template <typename V, size_t kCount, typename F>
 prometheus::MetricFamily DecisionFamily(const char* name, const char* help,
                                         const F& count) {
@@ -70,6 +85,7 @@
       report_age_(AddHistogram(&registry_,
                                "kumquatvalve_placement_report_age_seconds",
                                "Age of the load report of a placement.")),
+      subset_uses_(AddSubsetCounters(&registry_)),
       unreadable_(AddCounter(&registry_, "kumquatvalve_unreadable_total",
                              "Objects, or parts of one, that cannot be read.")),
       unexpected_errors_(
--- a/packages/process/test/node_metrics_test.cc
+++ b/packages/process/test/node_metrics_test.cc
@@ -20,6 +20,7 @@
   metrics->OnStoreCall("GET", std::chrono::milliseconds(5), true);
   metrics->OnPlacement(std::chrono::milliseconds(20),
                        std::chrono::milliseconds(70));
+  metrics->OnSubset(connection::SubsetUse::kLeft);
   metrics->SetFlows(17);
   const std::string text = SerializeMetrics({metrics});
   const std::string call =
@@ -33,6 +34,8 @@
            call,
            std::string("kumquatvalve_placement_report_age_seconds_bucket{le="
                        "\"0.1\"} 1"),
+           std::string("kumquatvalve_placement_subset_total{use=\"left\"} 1"),
+           std::string("kumquatvalve_placement_subset_total{use=\"kept\"} 0"),
            std::string("kumquatvalve_flows 17"),
        }) {
     INFO(it << " in\n" << text);
