--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -399,7 +399,7 @@
              const version::Route& route, EntryVerdict verdict, TimePoint now) {
     EntryDecision decision;
     UpstreamView* view =
-        ChooseCandidate(packet.flow, route, flow.excluded, &decision, now);
+        ChooseCandidate(packet.flow, flow, route, &decision, now);
     if (view == nullptr || flow.offer_count >= kMaxOffers) {
       decision.flow = packet.flow;
       decision.route = &route;
@@ -482,10 +482,10 @@
     return nullptr;
   }
 
-  UpstreamView* ChooseCandidate(const request::FlowKey& flow,
+  UpstreamView* ChooseCandidate(const request::FlowKey& key, const Flow& flow,
                                 const version::Route& route,
-                                std::span<const request::Endpoint> excluded,
                                 EntryDecision* decision, TimePoint now) {
+    const std::span<const request::Endpoint> excluded = flow.excluded;
     decision->verdict =
         excluded.empty() ? EntryVerdict::kNoUpstream : EntryVerdict::kNotTaken;
     const version::RouteShare* share = PickShare(route);
@@ -506,8 +506,8 @@
                              ? kBulkCrossZoneCost
                              : kShortCrossZoneCost;
     settings.max_expected_wait = route.timeout;
-    const auto [placement, subset_use] =
-        ChooseFromSubset(flow, sidecars, candidates, settings, NextRandom());
+    const auto [placement, subset_use] = ChooseFromSubset(
+        key, sidecars, candidates, flow.offer_count, settings, NextRandom());
     decision->subset_use = subset_use;
     decision->expected_wait = placement.expected_wait;
     if (!placement.chosen) {
--- a/packages/connection/include/kumquatvalve/connection/placement.h
+++ b/packages/connection/include/kumquatvalve/connection/placement.h
@@ -42,9 +42,8 @@
   std::optional<size_t> chosen;
   /// Expected wait for a slot at the candidate with the least cost.
   std::chrono::microseconds expected_wait{0};
-  /// Whether the chosen candidate is expected to have a free slot and is not
-  /// known to be slower than its peers.
-  bool ready = false;
+  /// Whether that candidate is known to be slower than its peers.
+  bool slow = false;
 };
 
 /// The time that a new request is expected to wait for a free slot.
--- a/packages/connection/include/kumquatvalve/connection/placement_subset.h
+++ b/packages/connection/include/kumquatvalve/connection/placement_subset.h
@@ -1,6 +1,7 @@
 #ifndef KUMQUATVALVE_CONNECTION_PLACEMENT_SUBSET_H_
 #define KUMQUATVALVE_CONNECTION_PLACEMENT_SUBSET_H_
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <span>
@@ -18,20 +19,21 @@
   kNone,
   /// The flow was placed at one of its preferred upstreams.
   kKept,
-  /// All preferred upstreams of the own zone were expected to be busy or slow,
-  /// so that others were considered.
+  /// It was placed at one of the next preferred ones.
+  kWidened,
+  /// All candidates were considered.
   kLeft,
 };
 
-inline constexpr size_t kSubsetUses = 3;
+inline constexpr size_t kSubsetUses = 4;
 
 constexpr std::string_view Name(SubsetUse use) {
-  constexpr std::string_view kNames[kSubsetUses] = {"none", "kept", "left"};
+  constexpr std::array<std::string_view, kSubsetUses> kNames = {
+      "none", "kept", "widened", "left"};
   return kNames[static_cast<size_t>(use)];
 }
 
-/// Number of preferred upstreams of a flow in the own zone, and again in all
-/// other zones.
+/// Number of preferred upstreams of a flow.
 inline constexpr size_t kSubsetSize = 4;
 
 struct SubsetPlacement {
@@ -39,23 +41,28 @@
   SubsetUse use = SubsetUse::kNone;
 };
 
-/// Chooses the upstream of a new flow among those that rank highest for the
-/// flow (`RankOf`), with `ChooseUpstream`. Load pattern: up to 91 entry
-/// instances choose at the same time from load reports that are 0.1 to 1 s old;
-/// when all compare all upstreams, those that were idle in the last report are
-/// overloaded in turn. A subset that differs from flow to flow spreads them.
-/// It also lets `NextToProbe` find the flow after a restart with few probes.
+/// Chooses the upstream of a new flow, with `ChooseUpstream`, among those of
+/// the own zone that rank highest for the flow (`RankOf`). Load pattern: up to
+/// 91 entry instances choose at the same time from load reports that are 0.1 to
+/// 1 s old; when all compare all upstreams, those that were idle in their last
+/// reports are overloaded in turn, and flows spill over to other zones since
+/// the whole own zone seems busy. Subsets that differ from flow to flow spread
+/// the flows, and let `NextToProbe` find them after a restart.
 ///
-/// The subset is left when its members are expected to be busy or slow: first
-/// for the whole own zone and the preferred upstreams of the other zones, then
-/// for all candidates, so that no flow waits while a slot is free elsewhere.
-/// Services with at most twice `subset_size` candidates in the own zone have no
-/// subset.
+/// The first offer goes to one of `subset_size` upstreams even if all seem
+/// busy: the sidecar knows its work, and a returned offer costs one round trip
+/// in the zone. The second one chooses among three times as many. From the
+/// third one on, which may wait for a slot, all candidates count unless one of
+/// those has a free slot. They also count when the best of the subset is slower
+/// than its peers, and in services with at most twice `subset_size` candidates
+/// in the own zone.
 /// @param sidecars the sidecar of each candidate.
+/// @param earlier_offers number of offers of this flow before this one.
 /// @param random as for `ChooseUpstream`.
 SubsetPlacement ChooseFromSubset(const request::FlowKey& flow,
                                  std::span<const request::Endpoint> sidecars,
                                  std::span<const PlacementCandidate> candidates,
+                                 size_t earlier_offers,
                                  const PlacementSettings& settings,
                                  uint64_t random,
                                  size_t subset_size = kSubsetSize);
--- a/packages/connection/src/placement.cc
+++ b/packages/connection/src/placement.cc
@@ -120,8 +120,7 @@
       best_cost = cost;
       best_tie = tie;
       placement.expected_wait = ExpectedWait(candidate);
-      placement.ready = placement.expected_wait.count() == 0 &&
-                        candidate.service_time <= median;
+      placement.slow = candidate.service_time > median;
     }
   }
   if (placement.expected_wait <= settings.max_expected_wait) {
--- a/packages/connection/src/placement_subset.cc
+++ b/packages/connection/src/placement_subset.cc
@@ -10,7 +10,16 @@
 namespace kumquatvalve::connection {
 namespace {
 
-// Moves the `n` candidates with the highest ranks for the flow to the front.
+// The second offer chooses among this many times as many upstreams as the first
+// one, those in the first two batches of `NextToProbe`.
+constexpr size_t kWidening = 3;
+
+// Offers that choose from a subset also when all its members seem busy. The
+// next one is final: the flow may wait at the chosen sidecar.
+constexpr size_t kSubsetOffers = 2;
+
+// The `n` members of `group` with the highest ranks for the flow come first, in
+// this order.
 void MoveHighestToFront(const request::FlowKey& flow,
                         std::span<const request::Endpoint> sidecars, size_t n,
                         std::vector<size_t>* group) {
@@ -26,40 +35,46 @@
                  [](const auto& it) { return it.second; });
 }
 
+bool IsUsable(const Placement& placement) {
+  return placement.chosen && !placement.slow;
+}
+
+bool HasFreeSlot(const Placement& placement) {
+  return placement.expected_wait.count() == 0;
+}
+
 }  // namespace
 
 SubsetPlacement ChooseFromSubset(const request::FlowKey& flow,
                                  std::span<const request::Endpoint> sidecars,
                                  std::span<const PlacementCandidate> candidates,
+                                 size_t earlier_offers,
                                  const PlacementSettings& settings,
                                  uint64_t random, size_t subset_size) {
-  std::vector<size_t> order;
-  std::vector<size_t> other_zones;
+  std::vector<size_t> own_zone;
   for (size_t i = 0; i < candidates.size(); ++i) {
-    (candidates[i].same_zone ? order : other_zones).push_back(i);
-  }
-  if (order.empty()) {
-    // The service runs in other zones only.
-    order.swap(other_zones);
+    if (candidates[i].same_zone) {
+      own_zone.push_back(i);
+    }
   }
-  if (order.size() <= 2 * subset_size) {
+  if (own_zone.size() <= 2 * subset_size) {
     return {ChooseUpstream(candidates, settings, random), SubsetUse::kNone};
   }
-  MoveHighestToFront(flow, sidecars, subset_size, &order);
-  Placement placement = ChooseUpstream(
-      candidates, std::span(order).first(subset_size), settings, random);
-  if (placement.ready) {
+  const size_t widened = std::min(kWidening * subset_size, own_zone.size());
+  MoveHighestToFront(flow, sidecars, widened, &own_zone);
+  const std::span<const size_t> ranked(own_zone);
+  Placement placement =
+      ChooseUpstream(candidates, ranked.first(subset_size), settings, random);
+  if (IsUsable(placement) && (earlier_offers == 0 || HasFreeSlot(placement))) {
     return {placement, SubsetUse::kKept};
   }
-  const size_t others = std::min(subset_size, other_zones.size());
-  MoveHighestToFront(flow, sidecars, others, &other_zones);
-  order.insert(order.end(), other_zones.begin(),
-               other_zones.begin() + static_cast<std::ptrdiff_t>(others));
-  placement = ChooseUpstream(candidates, order, settings, random);
-  if (!placement.ready) {
-    placement = ChooseUpstream(candidates, settings, random);
+  placement =
+      ChooseUpstream(candidates, ranked.first(widened), settings, random);
+  if (IsUsable(placement) &&
+      (earlier_offers < kSubsetOffers || HasFreeSlot(placement))) {
+    return {placement, SubsetUse::kWidened};
   }
-  return {placement, SubsetUse::kLeft};
+  return {ChooseUpstream(candidates, settings, random), SubsetUse::kLeft};
 }
 
 }  // namespace kumquatvalve::connection
--- a/packages/process/include/kumquatvalve/process/entry_node.h
+++ b/packages/process/include/kumquatvalve/process/entry_node.h
@@ -107,6 +107,9 @@
     log_.LogEntryDecision(decision, now_);
     if (decision.verdict == connection::EntryVerdict::kPlaced) {
       metrics_.OnPlacement(decision.expected_wait, decision.report_age);
+    }
+    if (decision.verdict == connection::EntryVerdict::kPlaced ||
+        decision.verdict == connection::EntryVerdict::kPlacedAgain) {
       metrics_.OnSubset(decision.subset_use);
     }
   }
--- a/packages/process/include/kumquatvalve/process/node_metrics.h
+++ b/packages/process/include/kumquatvalve/process/node_metrics.h
@@ -38,7 +38,7 @@
   /// @param report_age age of the load report that the decision used.
   void OnPlacement(std::chrono::microseconds expected_wait,
                    std::chrono::milliseconds report_age);
-  /// Counts how the candidates of a placement were limited.
+  /// Counts how the candidates of an offer were limited.
   void OnSubset(connection::SubsetUse use) {
     subset_uses_[static_cast<size_t>(use)]->Increment();
   }
--- a/packages/process/src/node_metrics.cc
+++ b/packages/process/src/node_metrics.cc
@@ -44,7 +44,7 @@
   auto& family =
       prometheus::BuildCounter()
           .Name("kumquatvalve_placement_subset_total")
-          .Help("Placements by use of the flow's preferred upstreams.")
+          .Help("Offers of new flows by use of their preferred upstreams.")
           .Register(*registry);
   std::array<prometheus::Counter*, connection::kSubsetUses> counters{};
   for (size_t i = 0; i < counters.size(); ++i) {
