--- a/bench/prove_placement.cc
+++ b/bench/prove_placement.cc
@@ -109,11 +109,15 @@
 }
 
 }  // namespace
-}  // namespace kumquatvalve::bench
 
-int main(int argc, char** argv) {
-  using namespace kumquatvalve::bench;
+int ProvePlacement(int argc, char** argv) {
   return RunMeasures({{"imbalance-old-views", OldViews},
                       {"imbalance-old-views-slow", OldViewsSlow}},
                      argc, argv);
 }
+
+}  // namespace kumquatvalve::bench
+
+int main(int argc, char** argv) {
+  return kumquatvalve::bench::ProvePlacement(argc, argv);
+}
--- a/packages/connection/test/placement_fleet.h
+++ b/packages/connection/test/placement_fleet.h
@@ -310,7 +310,8 @@
 
   void StartWork(size_t k) {
     Upstream& upstream = upstreams_[k];
-    while (upstream.running < kSlots && !upstream.queue.empty()) {
+    while (static_cast<double>(upstream.running) < kSlots &&
+           !upstream.queue.empty()) {
       Flow flow = std::move(upstream.queue.front());
       upstream.queue.pop_front();
       ++upstream.running;
