--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -21,6 +21,7 @@
 #include "kumquatvalve/connection/flow_locator.h"
 #include "kumquatvalve/connection/hello_schedule.h"
 #include "kumquatvalve/connection/placement.h"
+#include "kumquatvalve/connection/placement_subset.h"
 #include "kumquatvalve/connection/stale_records.h"
 #include "kumquatvalve/connection/upstream_set.h"
 #include "kumquatvalve/request/flow_key.h"
@@ -421,7 +422,7 @@
     EntryDecision decision;
     const Milliseconds waited = WaitedAtOffer(flow, packet, now);
     UpstreamView* view =
-        ChooseCandidate(route, flow.excluded, waited, &decision, now);
+        ChooseCandidate(packet.flow, flow, route, waited, &decision, now);
     if (view == nullptr || flow.offer_count >= kMaxOffers) {
       decision.flow = packet.flow;
       decision.route = &route;
@@ -530,10 +531,11 @@
     return nullptr;
   }
 
-  UpstreamView* ChooseCandidate(const version::Route& route,
-                                std::span<const request::Endpoint> excluded,
+  UpstreamView* ChooseCandidate(const request::FlowKey& key, const Flow& flow,
+                                const version::Route& route,
                                 Milliseconds waited, EntryDecision* decision,
                                 TimePoint now) {
+    const std::span<const request::Endpoint> excluded = flow.excluded;
     decision->verdict =
         excluded.empty() ? EntryVerdict::kNoUpstream : EntryVerdict::kNotTaken;
     const version::RouteShare* share = PickShare(route);
@@ -543,8 +545,11 @@
     const auto views = upstreams_.Candidates(share->tag, excluded, now);
     std::vector<PlacementCandidate> candidates;
     candidates.reserve(views.size());
+    std::vector<request::Endpoint> sidecars;
+    sidecars.reserve(views.size());
     for (const UpstreamView* it : views) {
       candidates.push_back(it->Candidate());
+      sidecars.push_back(it->sidecar());
     }
     PlacementSettings settings;
     settings.zone_cost = route.shape == version::TrafficShape::kBulk
@@ -556,8 +561,9 @@
       decision->verdict = EntryVerdict::kServiceFull;
       return nullptr;
     }
-    const Placement placement =
-        ChooseUpstream(candidates, settings, NextRandom());
+    const auto [placement, subset_use] = ChooseFromSubset(
+        key, sidecars, candidates, flow.offer_count, settings, NextRandom());
+    decision->subset_use = subset_use;
     decision->expected_wait = placement.expected_wait;
     if (!placement.chosen) {
       decision->zone_evacuated =
--- a/packages/process/include/kumquatvalve/process/entry_node.h
+++ b/packages/process/include/kumquatvalve/process/entry_node.h
@@ -111,6 +111,10 @@
     if (decision.verdict == connection::EntryVerdict::kPlaced) {
       metrics_.OnPlacement(decision.expected_wait, decision.report_age);
     }
+    if (decision.verdict == connection::EntryVerdict::kPlaced ||
+        decision.verdict == connection::EntryVerdict::kPlacedAgain) {
+      metrics_.OnSubset(decision.subset_use);
+    }
   }
 
   const UdpSocket& caller_socket() const { return caller_socket_; }
