--- a/fuzz/platform_documents_fuzz.cc
+++ b/fuzz/platform_documents_fuzz.cc
@@ -22,7 +22,7 @@
     }
   }
   std::string skipped;
-  platform::ReadConfiguration(text, 1, &skipped, &failure);
+  platform::ReadConfiguration(text, {1}, &skipped, &failure);
   const auto heartbeat = platform::ReadHeartbeat("i-1", text, &failure);
   if (heartbeat &&
       (heartbeat->identity.slots == 0 || heartbeat->identity.slots > 65535)) {
--- a/packages/connection/include/kumquatvalve/connection/address_history.h
+++ b/packages/connection/include/kumquatvalve/connection/address_history.h
@@ -26,7 +26,7 @@
   };
 
   /// Revision of the routes in force; 0 before the first ones.
-  uint64_t revision = 0;
+  request::TableVersion revision;
   /// The routes in force and `uses` have every service that an address was
   /// routed to within this time.
   std::chrono::milliseconds span{0};
@@ -81,7 +81,7 @@
   /// Since when another instance knew all services up to a version of the
   /// routes.
   struct Coverage {
-    uint64_t revision = 0;
+    request::TableVersion revision;
     TimePoint since;
   };
 
@@ -94,8 +94,8 @@
   /// in the routes; empty before the first routes.
   std::optional<TimePoint> known_since_;
   /// Revisions of the first and the current routes.
-  uint64_t first_revision_ = 0;
-  uint64_t revision_ = 0;
+  request::TableVersion first_revision_;
+  request::TableVersion revision_;
   /// From reports that arrived before the first routes.
   std::vector<Coverage> early_coverage_;
 };
--- a/packages/connection/include/kumquatvalve/connection/entry_decision.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_decision.h
@@ -69,7 +69,7 @@
   /// Expected wait for a slot at the chosen upstream.
   std::chrono::microseconds expected_wait{0};
   /// Store revision of the routes in force.
-  uint64_t route_revision = 0;
+  request::TableVersion route_revision;
   request::ReturnReason reason = request::ReturnReason::kNone;
 };
 
--- a/packages/connection/src/record_book.cc
+++ b/packages/connection/src/record_book.cc
@@ -2,25 +2,18 @@
 
 #include <utility>
 
-namespace kumquatvalve::connection {
-namespace {
-
-// Whether `record` is of a later start, or announces a drain of the same one. A
-// drain is never cancelled.
-bool Supersedes(const version::UpstreamRecord& record,
-                const version::UpstreamRecord& known) {
-  if (version::IsSameStart(record, known) &&
-      record.draining != known.draining) {
-    return record.draining;
-  }
-  return version::OrderOf(record) > version::OrderOf(known);
-}
+#include "kumquatvalve/connection/store_era.h"
 
-}  // namespace
+namespace kumquatvalve::connection {
 
-void RecordBook::OnStoreRecords(
+size_t RecordBook::OnStoreRecords(
     std::span<const version::UpstreamRecord> records, TimePoint complete_at,
-    TimePoint now) {
+    TimePoint now, uint64_t era) {
+  const bool era_rose = era_ && era > *era_;
+  era_ = era;
+  const auto known =
+      era_rose ? Merged()
+               : std::map<request::Endpoint, version::UpstreamRecord>();
   const auto previous = std::exchange(stored_, {});
   for (const version::UpstreamRecord& it : records) {
     stored_.insert_or_assign(it.sidecar, it);
@@ -37,10 +30,44 @@
   std::erase_if(announced_, [&](const auto& it) {
     const auto stored = stored_.find(it.first);
     const bool superseded = stored != stored_.end() &&
-                            !Supersedes(it.second.record, stored->second);
+                            !IsNewerRecord(it.second.record, stored->second);
     return superseded ||
            complete_at - it.second.received_at > kStoreWriteTimeout;
   });
+  std::erase_if(held_, [&](const auto& it) {
+    return FindStored(it.first) != it.second.stored;
+  });
+  return HoldLost(known, now);
+}
+
+size_t RecordBook::HoldLost(
+    const std::map<request::Endpoint, version::UpstreamRecord>& known,
+    TimePoint now) {
+  size_t n = 0;
+  for (const auto& [sidecar, record] : known) {
+    const auto stored = FindStored(sidecar);
+    // A missing record without a drain is treated as any that the store lost:
+    // the upstream stays known while its sidecar lives.
+    if (stored ? IsNewerRecord(record, *stored) : record.draining) {
+      Held held{record, stored, now};
+      held.record.missing_in_store = true;
+      held_.insert_or_assign(sidecar, std::move(held));
+      ++n;
+    }
+  }
+  return n;
+}
+
+bool RecordBook::ExpireHeld(TimePoint now) {
+  return std::erase_if(held_, [now](const auto& it) {
+           return now - it.second.since >= kMaxEraHold - kEraHoldCheckInterval;
+         }) != 0;
+}
+
+std::optional<version::UpstreamRecord> RecordBook::FindStored(
+    const request::Endpoint& sidecar) const {
+  const auto it = stored_.find(sidecar);
+  return it == stored_.end() ? std::nullopt : std::optional(it->second);
 }
 
 std::vector<version::UpstreamRecord> RecordBook::RecentlyRemoved(
@@ -58,12 +85,13 @@
 bool RecordBook::OnAnnouncedRecord(const version::UpstreamRecord& record,
                                    TimePoint now) {
   const version::UpstreamRecord* known = Find(record.sidecar);
-  if (known == nullptr || Supersedes(record, *known)) {
+  if (known == nullptr || IsNewerRecord(record, *known)) {
     version::UpstreamRecord accepted = record;
     if (known != nullptr && version::IsSameStart(record, *known) &&
         version::OrderOf(*known) > version::OrderOf(record)) {
       accepted.order = known->order;
     }
+    held_.erase(record.sidecar);
     announced_.insert_or_assign(record.sidecar,
                                 Announced{std::move(accepted), now});
     return true;
@@ -79,6 +107,9 @@
 
 const version::UpstreamRecord* RecordBook::Find(
     const request::Endpoint& sidecar) const {
+  if (const auto it = held_.find(sidecar); it != held_.end()) {
+    return &it->second.record;
+  }
   if (const auto it = announced_.find(sidecar); it != announced_.end()) {
     return &it->second.record;
   }
@@ -97,11 +128,20 @@
   return *known;
 }
 
-std::vector<version::UpstreamRecord> RecordBook::Records() const {
+std::map<request::Endpoint, version::UpstreamRecord> RecordBook::Merged()
+    const {
   auto merged = stored_;
   for (const auto& [sidecar, announced] : announced_) {
     merged.insert_or_assign(sidecar, announced.record);
   }
+  for (const auto& [sidecar, held] : held_) {
+    merged.insert_or_assign(sidecar, held.record);
+  }
+  return merged;
+}
+
+std::vector<version::UpstreamRecord> RecordBook::Records() const {
+  auto merged = Merged();
   std::vector<version::UpstreamRecord> records;
   records.reserve(merged.size());
   for (auto& [sidecar, record] : merged) {
--- a/packages/connection/src/upstream_view.cc
+++ b/packages/connection/src/upstream_view.cc
@@ -57,6 +57,9 @@
 
 void UpstreamView::OnRecord(const version::UpstreamRecord& record,
                             bool same_zone) {
+  if (record.missing_in_store && !record_.missing_in_store) {
+    hello_sent_at_ = TimePoint();
+  }
   record_ = record;
   same_zone_ = same_zone;
   unlisted_since_.reset();
@@ -70,8 +73,9 @@
 }
 
 bool UpstreamView::LacksRecord(TimePoint now) const {
-  return !listed() || (of_other_service_since_ &&
-                       now - *of_other_service_since_ > kRecordArrivalTimeout);
+  return !listed() || record_.missing_in_store ||
+         (of_other_service_since_ &&
+          now - *of_other_service_since_ > kRecordArrivalTimeout);
 }
 
 bool UpstreamView::ShouldKeepWithoutRecord(TimePoint now) const {
--- a/packages/connection/test/address_history_test.cc
+++ b/packages/connection/test/address_history_test.cc
@@ -21,7 +21,7 @@
 version::RouteMap Routes(const std::map<int, std::string>& services,
                          uint64_t revision = 1) {
   version::RouteMap map;
-  map.revision = revision;
+  map.revision = {revision};
   for (const auto& [i, service] : services) {
     map.routes[Address(i)].shares = {
         {request::ServiceName(service), request::ServiceTagOf(service), 1}};
@@ -50,6 +50,24 @@
   CHECK(history.ServicesOf(Address(1)).empty());
 }
 
+// After the store had gone back in time, the history of an instance with the
+// routes of the new era did not count, since their revision was smaller.
+TEST_CASE("address_history: a report of a later era is not older") {
+  for (const bool later : {true, false}) {
+    auto routes = Routes({{1, "patio"}});
+    routes.revision =
+        later ? request::TableVersion{110, 0} : request::TableVersion{90, 1};
+    AddressHistory history;
+    history.OnRoutes(nullptr, routes, kNow);
+    AddressHistoryReport report;
+    report.revision =
+        later ? request::TableVersion{90, 1} : request::TableVersion{110, 0};
+    report.span = AddressHistory::kFlowRetention;
+    history.OnReport(report, kNow);
+    CHECK(history.IsComplete(kNow) == later);
+  }
+}
+
 // Restarts in turn: each process learns from one that started before, so that
 // the knowledge outlives all of them.
 TEST_CASE("address_history: a report passes on what another process knew") {
--- a/packages/connection/test/entry_router_test.cc
+++ b/packages/connection/test/entry_router_test.cc
@@ -91,7 +91,7 @@
 std::shared_ptr<version::RouteMap> Routes(
     uint64_t revision, const std::string& service = "patio") {
   auto map = std::make_shared<version::RouteMap>();
-  map->revision = revision;
+  map->revision = {revision};
   version::Route route;
   route.name = "r";
   route.shares = {
@@ -229,7 +229,7 @@
   f.ReceiveSyn(1);
   f.ReceiveData(1);
   auto empty = std::make_shared<version::RouteMap>();
-  empty->revision = 2;
+  empty->revision = {2};
   f.router.OnRoutes(empty, f.now);
   const size_t before = f.sink.SentOfKind(HopKind::kPacket).size();
   f.ReceiveData(1);
@@ -394,7 +394,7 @@
   Fixture f;
   CHECK(f.router.OnRoutes(Routes(5, "evidencia"), f.now));
   CHECK_FALSE(f.router.OnRoutes(Routes(4, "patio"), f.now));
-  CHECK(f.router.routes()->revision == 5);
+  CHECK(f.router.routes()->revision.value == 5);
 }
 
 TEST_CASE(
@@ -760,6 +760,24 @@
   CHECK(f.sink.SentOfKind(HopKind::kUnlisted).empty());
 }
 
+// A sidecar makes no store calls while its record is written, so it does not
+// notice by itself that the store has gone back in time.
+TEST_CASE(
+    "entry_router: a sidecar whose record the store has lost is notified at "
+    "once") {
+  Fixture f;
+  f.records[0].missing_in_store = true;
+  f.sink.sent.clear();
+  f.router.OnUpstreamRecords(f.records, f.now, f.now);
+  CHECK(f.WasSent(HopKind::kUnlisted, 1));
+  CHECK_FALSE(f.WasSent(HopKind::kUnlisted, 2));
+  f.records[0].missing_in_store = false;
+  f.router.OnUpstreamRecords(f.records, f.now, f.now);
+  f.sink.sent.clear();
+  f.AdvanceTime(milliseconds(3000));
+  CHECK(f.sink.SentOfKind(HopKind::kUnlisted).empty());
+}
+
 // An instance that is cut off from the network presumes all upstreams dead.
 TEST_CASE(
     "entry_router: a flow is not reset when most sidecars are unresponsive") {
@@ -952,7 +970,7 @@
   CHECK(f.sink.SentOfKind(HopKind::kPacket).empty());
   CHECK(f.sink.resets.empty());
   // Another instance knows that the address had no other service.
-  f.router.OnAddressHistory({1, std::chrono::seconds(61), {}}, f.now);
+  f.router.OnAddressHistory({{1}, std::chrono::seconds(61), {}}, f.now);
   CHECK(f.sink.SentOfKind(HopKind::kPacket).empty());
   CHECK(f.sink.resets.size() == 1);
 }
@@ -974,7 +992,7 @@
   CHECK(f.sink.resets.empty());
   // Another instance knows the earlier service: its upstreams may be probed.
   f.router.OnAddressHistory(
-      {1,
+      {{1},
        milliseconds(0),
        {{kServiceAddress, request::ServiceName("patio"), milliseconds(3000)}}},
       f.now);
@@ -995,7 +1013,7 @@
     "another instance knows") {
   RestartedInstance f;
   f.router.OnAddressHistory(
-      {1,
+      {{1},
        milliseconds(0),
        {{kServiceAddress, request::ServiceName("patio"), milliseconds(3000)}}},
       f.now);
@@ -1343,7 +1361,7 @@
   CHECK(f.sink.last_decision.verdict == EntryVerdict::kNotTaken);
   CHECK(f.sink.last_decision.reason == ReturnReason::kRejected);
   CHECK(f.sink.last_decision.flow == first.flow);
-  CHECK(f.sink.last_decision.route_revision == 1);
+  CHECK(f.sink.last_decision.route_revision.value == 1);
 }
 
 }  // namespace
--- a/packages/connection/test/record_book_test.cc
+++ b/packages/connection/test/record_book_test.cc
@@ -178,5 +178,67 @@
   CHECK(book.RecentlyRemoved(kNow).empty());
 }
 
+// The store went back to a copy from before a restart and a drain: new flows
+// were sent to a start of an upstream that had ended, and to one that drains.
+TEST_CASE("record_book: records that the store has lost stay in use") {
+  RecordBook book;
+  RecordBook baseline;
+  const std::vector known{Record(1, 2000), Record(2, 1000, true), Record(3),
+                          Record(4, 1000, true)};
+  const std::vector copy{Record(1, 1000), Record(2), Record(3)};
+  book.OnStoreRecords(known, kNow, kNow);
+  baseline.OnStoreRecords(known, kNow, kNow);
+  CHECK(book.OnStoreRecords(copy, kNow, kNow, 1) == 3);
+  CHECK(baseline.OnStoreRecords(copy, kNow, kNow) == 0);
+  CHECK(baseline.Records() == copy);
+  const auto records = book.Records();
+  REQUIRE(records.size() == 4);
+  CHECK(records[0].incarnation_ms == 2000);
+  CHECK(records[1].draining);
+  CHECK(records[3].draining);
+  for (const version::UpstreamRecord& it : records) {
+    CHECK(it.missing_in_store == (it.sidecar != Record(3).sidecar));
+  }
+  // Each watch repeats what the copy had.
+  book.OnStoreRecords(copy, kNow, kNow + milliseconds(29000), 1);
+  CHECK_FALSE(book.ExpireHeld(kNow + milliseconds(29000)));
+  CHECK(book.Records() == records);
+  // The sidecars have not written again.
+  CHECK(book.ExpireHeld(kNow + milliseconds(29500)));
+  CHECK(book.Records() == copy);
+}
+
+// A record that stayed in use hid the one that its sidecar wrote again, for
+// example because the upstream was replaced by one with an earlier start time.
+TEST_CASE("record_book: what a sidecar writes in the new era is used") {
+  RecordBook book;
+  book.OnStoreRecords(std::vector{Record(1, 2000), Record(2, 2000)}, kNow,
+                      kNow);
+  book.OnStoreRecords(std::vector{Record(1, 1000), Record(2, 1000)}, kNow, kNow,
+                      1);
+  book.OnStoreRecords(std::vector{Record(1, 1500), Record(2, 1000)}, kNow, kNow,
+                      1);
+  auto records = book.Records();
+  CHECK(records[0].incarnation_ms == 1500);
+  CHECK_FALSE(records[0].missing_in_store);
+  CHECK(records[1].incarnation_ms == 2000);
+  book.OnStoreRecords(std::vector{Record(1, 1500)}, kNow, kNow, 1);
+  CHECK(book.Records().size() == 1);
+  // The second copy is older than what was written after the first one.
+  CHECK(book.OnStoreRecords(std::vector{Record(1, 1000)}, kNow, kNow, 2) == 1);
+  CHECK(book.Records()[0].incarnation_ms == 1500);
+}
+
+// A later start that was announced while the record of the last one was missing
+// in the store was ignored for 30 s.
+TEST_CASE("record_book: an announced later start replaces a held record") {
+  RecordBook book;
+  book.OnStoreRecords(std::vector{Record(1, 2000)}, kNow, kNow);
+  book.OnStoreRecords(std::vector{Record(1, 1000)}, kNow, kNow, 1);
+  CHECK_FALSE(book.OnAnnouncedRecord(Record(1, 2000), kNow));
+  CHECK(book.OnAnnouncedRecord(Record(1, 3000), kNow));
+  CHECK(book.Records() == std::vector{Record(1, 3000)});
+}
+
 }  // namespace
 }  // namespace kumquatvalve::connection
--- a/packages/process/include/kumquatvalve/process/entry_knowledge.h
+++ b/packages/process/include/kumquatvalve/process/entry_knowledge.h
@@ -2,6 +2,7 @@
 #define KUMQUATVALVE_PROCESS_ENTRY_KNOWLEDGE_H_
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -12,6 +13,7 @@
 #include <vector>
 
 #include "kumquatvalve/connection/record_book.h"
+#include "kumquatvalve/connection/store_era.h"
 #include "kumquatvalve/process/logging.h"
 #include "kumquatvalve/process/object_api.h"
 #include "kumquatvalve/process/peer_snapshot.h"
@@ -57,6 +59,9 @@
     /// An object or a part of one was left out since it cannot be read; the
     /// reason has been logged. May be empty.
     std::function<void()> unreadable;
+    /// A configuration or a record of a new era of the store is held back; the
+    /// reason has been logged. May be empty.
+    std::function<void()> held_back;
   };
 
   /// `logger` must outlive the object.
@@ -64,15 +69,22 @@
 
   /// Applies a configuration that the store or a peer returned. One that is not
   /// newer than the current one is ignored; an unreadable one is logged and the
-  /// current one stays in force.
-  /// @return whether the routes in force are at least as new as the object.
-  bool OnConfiguration(const StoredObject& object);
+  /// current one stays in force. One that the store may have restored from a
+  /// copy is held back, see `connection::EraHold`.
+  /// @return whether the routes in force are at least as new as the object; for
+  ///   one that is held back by the operator's version.
+  bool OnConfiguration(const StoredObject& object, TimePoint now);
 
   /// Replaces the records with a full list from the store. Records that cannot
   /// be read, or that are stored under another sidecar's path, are logged once
   /// for each of their versions and left out.
+  /// @param era of the store to which the list belongs.
   void OnStoredRecords(const std::map<std::string, StoredObject>& objects,
-                       TimePoint complete_at, TimePoint now);
+                       TimePoint complete_at, TimePoint now, uint64_t era = 0);
+
+  /// Puts in force what was held back for `connection::kMaxEraHold`; has to be
+  /// called every `connection::kEraHoldCheckInterval`.
+  void OnTick(TimePoint now);
 
   /// Adds a record that a sidecar announced because it cannot write it to the
   /// store.
@@ -111,6 +123,9 @@
   // Decodes a record that has to be stored at its sidecar's path.
   std::optional<version::UpstreamRecord> ReadRecordAt(
       const StoredObject& object, request::Failure* failure) const;
+  // Puts a configuration in force; `mutex_` must be locked.
+  void ApplyConfiguration(const StoredObject& object, version::RouteMap map);
+  void LogHeldBack(std::string_view message, const std::string& what) const;
   void LogUnreadable(std::string_view message, const std::string& path,
                      const request::Failure& failure) const;
   void PublishRecords();
@@ -120,6 +135,10 @@
   const Logger* logger_;
   mutable std::mutex mutex_;
   std::optional<StoredObject> configuration_;
+  /// Number that the operator assigned to `configuration_`.
+  uint64_t operator_version_ = 0;
+  connection::EraHold era_hold_;
+  std::optional<StoredObject> held_configuration_;
   /// The store or a peer has returned a list of upstream records.
   bool records_known_ = false;
   TimePoint complete_at_;
--- a/packages/process/include/kumquatvalve/process/entry_node.h
+++ b/packages/process/include/kumquatvalve/process/entry_node.h
@@ -173,6 +173,12 @@
   void PublishStoreState(bool answers) { store_answers_ = answers; }
   bool store_answers() const { return store_answers_; }
 
+  /// Sets the highest era of the store that a response had.
+  void PublishStoreEra(uint64_t era) {
+    store_era_ = era;
+    output_.metrics().SetStoreEra(era);
+  }
+
   /// Sets whether the other entry instances have been asked for their records;
   /// see `EntryRouter::SetPeersAsked`. To be called after the records that they
   /// sent were published.
@@ -289,7 +295,7 @@
     output_.metrics().SetFlows(router_.flows());
     output_.metrics().SetUpstreams(router_.upstreams().views().size());
     if (router_.routes() != nullptr) {
-      output_.metrics().SetRouteRevision(router_.routes()->revision);
+      output_.metrics().SetRouteRevision(router_.routes()->revision.value);
     }
   }
 
@@ -300,9 +306,11 @@
     status["instance"] = settings_.instance.text();
     status["ready"] = Ready();
     status["store_answers"] = store_answers_.load();
+    status["store_era"] = store_era_.load();
     status["flows"] = router_.flows();
     if (router_.routes() != nullptr) {
-      status["route_revision"] = router_.routes()->revision;
+      status["route_revision"] = router_.routes()->revision.value;
+      status["route_era"] = router_.routes()->revision.era;
       status["route_version"] = router_.routes()->version;
       status["routes"] = router_.routes()->routes.size();
     }
@@ -390,6 +398,7 @@
   std::atomic<bool> has_routes_{false};
   std::atomic<bool> has_upstreams_{false};
   std::atomic<bool> store_answers_{true};
+  std::atomic<uint64_t> store_era_{0};
   std::atomic<bool> peers_asked_{true};
   std::atomic<bool> stopping_{false};
   Clock::time_point now_;
--- a/packages/process/include/kumquatvalve/process/log_event.h
+++ b/packages/process/include/kumquatvalve/process/log_event.h
@@ -34,6 +34,8 @@
   kStoreAvailable = 1402,
   kPeerTold = 1403,
   kPeerFailed = 1404,
+  kStoreEraChanged = 1405,
+  kHeldBack = 1406,
   kMemberStateChanged = 1501,
   kMassEvictionHeld = 1502,
   kMemberLeaseGained = 1503,
--- a/packages/process/include/kumquatvalve/process/node_metrics.h
+++ b/packages/process/include/kumquatvalve/process/node_metrics.h
@@ -47,6 +47,10 @@
   void SetRouteRevision(uint64_t n) {
     route_revision_->Set(static_cast<double>(n));
   }
+  void SetStoreEra(uint64_t n) { store_era_->Set(static_cast<double>(n)); }
+  /// Counts a configuration or an upstream record of a new era of the store
+  /// that is held back, see `connection/store_era.h`.
+  void OnHeldBack() { held_back_->Increment(); }
   void SetUpstreams(size_t n) { upstreams_->Set(static_cast<double>(n)); }
 
   std::vector<prometheus::MetricFamily> Collect() const override;
@@ -63,6 +67,8 @@
   prometheus::Gauge* in_progress_;
   prometheus::Gauge* route_revision_;
   prometheus::Gauge* upstreams_;
+  prometheus::Gauge* store_era_;
+  prometheus::Counter* held_back_;
 };
 
 }  // namespace kumquatvalve::process
--- a/packages/process/include/kumquatvalve/process/object_api.h
+++ b/packages/process/include/kumquatvalve/process/object_api.h
@@ -42,7 +42,9 @@
   /// Empty when nothing changed within the timeout. Events may be duplicated
   /// and reordered; only their versions show which one is newer.
   std::vector<ObjectEvent> events;
-  /// Store revision to pass as `since` to the next watch.
+  /// Store revision to pass as `since` to the next watch. When its era is later
+  /// than that of `since` and this is no snapshot, the store has gone back in
+  /// time: there are no events, and the objects have to be listed again.
   request::TableVersion version;
   /// The store had dropped the events after `since`. `events` now holds every
   /// object under the prefix; a path that is not among them does not exist at
--- a/packages/process/include/kumquatvalve/process/record_keeper.h
+++ b/packages/process/include/kumquatvalve/process/record_keeper.h
@@ -17,8 +17,10 @@
 
 /// Keeps one object of the store equal to the state that this process desires.
 /// Every write is conditional on the version that was read before, because a
-/// delayed write must never overwrite a newer one. Calls to the store are made
-/// on the thread that runs `Run`; all functions are thread-safe.
+/// delayed write must never overwrite a newer one. A version that was read in
+/// an earlier era of the store is not used: the object is read again. Calls to
+/// the store are made on the thread that runs `Run`; all functions are
+/// thread-safe.
 template <ObjectApi A>
 class RecordKeeper {
  public:
@@ -74,6 +76,17 @@
     }
   }
 
+  /// A response to any client of this process had this era of the store. If it
+  /// is later than that of the last read or write, the object is read again.
+  void OnEra(uint64_t era) {
+    const std::lock_guard lock(mutex_);
+    if (era > latest_era_) {
+      latest_era_ = era;
+      in_sync_ = in_sync_ && !desired_;
+      wake_.notify_all();
+    }
+  }
+
   /// The desired body while the store is not known to have it. Nothing when the
   /// object must not exist.
   std::optional<std::string> pending() const {
@@ -125,7 +138,7 @@
     backoff_.Reset();
     {
       const std::lock_guard lock(mutex_);
-      in_sync_ = !desired_ || *desired_ == body;
+      in_sync_ = !desired_ || (*desired_ == body && stored_era_ == latest_era_);
     }
     listener_.written(body.value_or("(removed)"));
   }
@@ -139,7 +152,7 @@
   // the expected one; the next attempt reads it first.
   bool TryWrite(const std::optional<std::string>& body,
                 request::Failure* failure) {
-    if (!stored_known_) {
+    if (!stored_known_ || stored_era_ < LatestEra()) {
       if (!ReadStored(failure)) {
         return false;
       }
@@ -176,6 +189,8 @@
       }
       return false;
     }
+    // A write that was accepted in a later era than the one of the version that
+    // it was conditional on may have replaced another object: it is read again.
     stored_version_ = body ? version : std::nullopt;
     stored_body_ = body.value_or("");
     // When the store returned no version, it is read before the next write.
@@ -183,6 +198,11 @@
     return true;
   }
 
+  uint64_t LatestEra() const {
+    const std::lock_guard lock(mutex_);
+    return latest_era_;
+  }
+
   // Reads the stored object; a missing object is not a failure.
   bool ReadStored(request::Failure* failure) {
     auto object = api_->Read(path_, failure);
@@ -196,6 +216,8 @@
       stored_body_ = std::move(object->body);
     }
     stored_known_ = true;
+    // A response of an earlier era than the latest one is a failure.
+    stored_era_ = LatestEra();
     return true;
   }
 
@@ -215,6 +237,10 @@
   bool stored_known_ = false;
   std::optional<request::TableVersion> stored_version_;
   std::string stored_body_;
+  /// The era of the last read. Used by the thread of `Run` only.
+  uint64_t stored_era_ = 0;
+  /// The highest era that any client of this process has seen.
+  uint64_t latest_era_ = 0;
 };
 
 }  // namespace kumquatvalve::process
--- a/packages/process/include/kumquatvalve/process/sidecar_node.h
+++ b/packages/process/include/kumquatvalve/process/sidecar_node.h
@@ -163,6 +163,12 @@
     stored_incarnation_ms_.Put(incarnation_ms);
   }
 
+  /// Sets the highest era of the store that a response had.
+  void PublishStoreEra(uint64_t era) {
+    store_era_ = era;
+    output_.metrics().SetStoreEra(era);
+  }
+
   /// Hands over that a heartbeat of the upstream was accepted.
   void PublishHeartbeat(connection::HeartbeatId heartbeat) {
     heartbeats_.Add({Clock::now(), std::move(heartbeat), false});
@@ -275,6 +281,7 @@
         {"role", "sidecar"},
         {"instance", settings_.instance.text()},
         {"ready", Ready()},
+        {"store_era", store_era_.load()},
         {"upstream", gate_.identity().instance},
         {"service", gate_.identity().service},
         {"incarnation_ms", gate_.identity().incarnation_ms},
@@ -375,6 +382,7 @@
   /// No packet waited on the upstream's socket at this time.
   Clock::time_point upstream_socket_empty_at_;
   std::atomic<bool> stopping_{false};
+  std::atomic<uint64_t> store_era_{0};
   Clock::time_point now_;
   Clock::time_point next_tick_at_;
   Clock::time_point next_record_check_at_;
--- a/packages/process/include/kumquatvalve/process/store_watcher.h
+++ b/packages/process/include/kumquatvalve/process/store_watcher.h
@@ -8,11 +8,14 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <random>
 #include <set>
 #include <string>
 #include <string_view>
+#include <thread>
 #include <utility>
 
+#include "kumquatvalve/connection/store_era.h"
 #include "kumquatvalve/process/object_api.h"
 #include "kumquatvalve/process/retry_backoff.h"
 #include "kumquatvalve/request/result_code.h"
@@ -21,7 +24,8 @@
 
 /// Keeps a copy of all objects under a prefix: lists them once and then follows
 /// changes with long polls. While the store is unavailable the copy stays as it
-/// is. Calls to the store are made on the thread that runs `Run`.
+/// is. When the store has gone back in time, the objects are listed again after
+/// a random delay. Calls to the store are made on the thread that runs `Run`.
 template <ObjectApi A>
 class StoreWatcher {
  public:
@@ -69,10 +73,12 @@
         prefix_(std::move(prefix)),
         timing_(timing),
         listener_(std::move(listener)),
-        backoff_(seed) {}
+        backoff_(seed),
+        random_(seed) {}
 
   /// Lists and watches. Returns after `Stop`.
   void Run() {
+    runner_ = std::this_thread::get_id();
     while (!stopped_) {
       request::Failure failure;
       if (ListOrWatch(&failure)) {
@@ -116,12 +122,29 @@
     RenewWatch();
   }
 
+  /// A response to any client of this process had this era of the store. If it
+  /// is later than that of the copy, the objects are listed again. Thread-safe.
+  void OnEra(uint64_t era) {
+    RaiseEra(era);
+    if (std::this_thread::get_id() != runner_) {
+      RenewWatch();
+    }
+  }
+
+  /// Version of the copy, for the functions of the listener.
+  request::TableVersion version() const { return watch_since_; }
+
  private:
   bool ListOrWatch(request::Failure* failure) {
+    const uint64_t era = latest_era_;
+    const bool era_rose = listed_ && era > watch_since_.era;
+    if (era_rose) {
+      DelayList(era);
+    }
     const bool relist = relist_.exchange(false);
     const bool list_to_catch_up =
         versions_waiting_ && timing_.catch_up == CatchUp::kList;
-    if (!listed_ || relist || list_to_catch_up) {
+    if (!listed_ || relist || list_to_catch_up || era_rose) {
       const bool done = List(failure);
       relist_ = relist_ || (!done && listed_);
       return done;
@@ -135,7 +158,7 @@
   bool List(request::Failure* failure) {
     const TimePoint sent_at = std::chrono::steady_clock::now();
     auto list = api_->List(prefix_, failure);
-    if (!list) {
+    if (!list || IsOfEarlierEra(list->version, failure)) {
       return false;
     }
     complete_at_ = sent_at;
@@ -146,6 +169,7 @@
       objects_.insert_or_assign(std::move(path), std::move(it));
     }
     watch_since_ = list->version;
+    RaiseEra(list->version.era);
     listed_ = true;
     listener_.changed(objects_, complete_at_);
     return true;
@@ -154,10 +178,14 @@
   bool Watch(request::Failure* failure) {
     auto response =
         api_->Watch(prefix_, watch_since_, timing_.watch_timeout, failure);
-    if (!response) {
+    if (!response || IsOfEarlierEra(response->version, failure)) {
       return false;
     }
     const request::TableVersion since = watch_since_;
+    RaiseEra(response->version.era);
+    if (response->version.era > since.era && !response->snapshot) {
+      return true;
+    }
     // A response that is behind the last one must not bring objects back that
     // were deleted since.
     watch_since_ = std::max(since, response->version);
@@ -181,6 +209,35 @@
     return true;
   }
 
+  // Whether a response is of an earlier era than the copy; it is ignored.
+  bool IsOfEarlierEra(const request::TableVersion& version,
+                      request::Failure* failure) const {
+    if (version.era >= watch_since_.era) {
+      return false;
+    }
+    *failure = {request::ResultCode::kStoreUnavailable,
+                "a response of an earlier era of the store"};
+    return true;
+  }
+
+  void RaiseEra(uint64_t era) {
+    uint64_t latest = latest_era_;
+    while (latest < era && !latest_era_.compare_exchange_weak(latest, era)) {
+    }
+  }
+
+  // Waits for a random time, once for each era.
+  void DelayList(uint64_t era) {
+    if (std::exchange(delayed_era_, era) == era) {
+      return;
+    }
+    std::unique_lock lock(mutex_);
+    wake_.wait_for(lock,
+                   connection::EraListDelay(timing_.watch_timeout, random_()),
+                   [this] { return stopped_.load(); });
+    woken_ = false;
+  }
+
   static bool HasSeveralVersions(const WatchAnswer& response) {
     std::set<std::string_view> paths;
     for (const ObjectEvent& it : response.events) {
@@ -243,6 +300,8 @@
   Timing timing_;
   Listener listener_;
   RetryBackoff backoff_;
+  /// Of the delays before lists of a new era.
+  std::mt19937_64 random_;
   Objects objects_;
   request::TableVersion watch_since_;
   bool listed_ = false;
@@ -253,6 +312,11 @@
   std::atomic<bool> stopped_{false};
   std::atomic<bool> interrupted_{false};
   std::atomic<bool> relist_{false};
+  /// The highest era that any client of this process has seen.
+  std::atomic<uint64_t> latest_era_{0};
+  /// The last era whose list was delayed.
+  uint64_t delayed_era_ = 0;
+  std::atomic<std::thread::id> runner_;
   /// A watch call or the coalescing of its changes is in progress.
   std::atomic<bool> watching_{false};
   TimePoint complete_at_;
--- a/packages/process/src/address_history_codec.cc
+++ b/packages/process/src/address_history_codec.cc
@@ -50,9 +50,12 @@
 }  // namespace
 
 std::string EncodeAddressHistory(const AddressHistoryReport& report) {
-  Json value = {{"revision", report.revision},
+  Json value = {{"revision", report.revision.value},
                 {"span_ms", std::min(report.span, kMaxAge).count()},
                 {"uses", Json::array()}};
+  if (report.revision.era != 0) {
+    value["era"] = report.revision.era;
+  }
   for (const AddressHistoryReport::Use& it : report.uses) {
     value["uses"].push_back({{"address", request::ToString(it.address)},
                              {"service", it.service.text()},
@@ -73,12 +76,16 @@
       value->is_object() ? ReadAge(*value, "span_ms") : std::nullopt;
   const auto revision =
       span ? ReadUnsigned(*value, "revision", UINT64_MAX) : std::nullopt;
-  if (!revision || !value->contains("uses") || !value->at("uses").is_array()) {
+  const auto era = revision && value->contains("era")
+                       ? ReadUnsigned(*value, "era", UINT64_MAX)
+                       : uint64_t{0};
+  if (!revision || !era || !value->contains("uses") ||
+      !value->at("uses").is_array()) {
     *failure = not_a_report;
     return std::nullopt;
   }
   AddressHistoryReport report;
-  report.revision = *revision;
+  report.revision = {*revision, *era};
   report.span = *span;
   for (const Json& it : value->at("uses")) {
     auto use = DecodeUse(it, failure);
--- a/packages/process/src/decision_log.cc
+++ b/packages/process/src/decision_log.cc
@@ -60,7 +60,8 @@
        {"reason", std::string(Name(decision.reason))},
        {"report_age_ms", std::to_string(decision.report_age.count())},
        {"expected_wait_us", std::to_string(decision.expected_wait.count())},
-       {"route_revision", std::to_string(decision.route_revision)},
+       {"route_revision", std::to_string(decision.route_revision.value)},
+       {"route_era", std::to_string(decision.route_revision.era)},
        {"left_out", std::to_string(left_out)}});
 }
 
--- a/packages/process/src/entry_knowledge.cc
+++ b/packages/process/src/entry_knowledge.cc
@@ -8,9 +8,11 @@
                                const Logger* logger)
     : codec_(std::move(codec)), outputs_(std::move(outputs)), logger_(logger) {}
 
-bool EntryKnowledge::OnConfiguration(const StoredObject& object) {
+bool EntryKnowledge::OnConfiguration(const StoredObject& object,
+                                     TimePoint now) {
   const std::lock_guard lock(mutex_);
-  if (configuration_ && object.version <= configuration_->version) {
+  if ((configuration_ && object.version <= configuration_->version) ||
+      (held_configuration_ && object.version <= held_configuration_->version)) {
     return true;
   }
   std::string skipped;
@@ -24,18 +26,53 @@
     LogUnreadable("skipped unreadable parts of the configuration", object.path,
                   {request::ResultCode::kWrongType, skipped});
   }
+  if (configuration_ &&
+      era_hold_.OnConfiguration({configuration_->version, operator_version_},
+                                {object.version, map->version},
+                                now) == connection::EraVerdict::kHoldBack) {
+    LogHeldBack("the configuration in force is newer to the operator",
+                "version " + std::to_string(map->version) + " of era " +
+                    std::to_string(object.version.era));
+    held_configuration_ = object;
+    return true;
+  }
+  ApplyConfiguration(object, std::move(*map));
+  return true;
+}
+
+void EntryKnowledge::ApplyConfiguration(const StoredObject& object,
+                                        version::RouteMap map) {
   logger_->Log(LogLevel::kInfo, LogEvent::kTablesPublished, "configuration",
-               {{"version", std::to_string(map->version)},
-                {"revision", std::to_string(map->revision)},
-                {"routes", std::to_string(map->routes.size())}});
+               {{"version", std::to_string(map.version)},
+                {"revision", std::to_string(map.revision.value)},
+                {"era", std::to_string(map.revision.era)},
+                {"routes", std::to_string(map.routes.size())}});
   configuration_ = object;
-  outputs_.routes(std::make_shared<const version::RouteMap>(std::move(*map)));
-  return true;
+  operator_version_ = map.version;
+  era_hold_.OnTaken(object.version);
+  held_configuration_.reset();
+  outputs_.routes(std::make_shared<const version::RouteMap>(std::move(map)));
+}
+
+void EntryKnowledge::OnTick(TimePoint now) {
+  const std::lock_guard lock(mutex_);
+  if (held_configuration_ && era_hold_.IsOver(now)) {
+    const StoredObject object = *held_configuration_;
+    std::string skipped;
+    request::Failure failure;
+    // It could be read when it was held back.
+    if (auto map = codec_.read_configuration(object, &skipped, &failure)) {
+      ApplyConfiguration(object, std::move(*map));
+    }
+  }
+  if (records_.ExpireHeld(now)) {
+    PublishRecords();
+  }
 }
 
 void EntryKnowledge::OnStoredRecords(
     const std::map<std::string, StoredObject>& objects, TimePoint complete_at,
-    TimePoint now) {
+    TimePoint now, uint64_t era) {
   const std::lock_guard lock(mutex_);
   std::vector<version::UpstreamRecord> records;
   std::map<std::string, DecodedRecord> decoded;
@@ -57,7 +94,12 @@
     }
   }
   decoded_ = std::move(decoded);
-  records_.OnStoreRecords(records, complete_at, now);
+  const size_t held = records_.OnStoreRecords(records, complete_at, now, era);
+  if (held != 0) {
+    LogHeldBack(
+        "the upstream records in use are newer",
+        std::to_string(held) + " records of era " + std::to_string(era));
+  }
   complete_at_ = complete_at;
   PublishRecords();
 }
@@ -89,7 +131,7 @@
 void EntryKnowledge::OnPeerSnapshot(const PeerSnapshot& snapshot,
                                     TimePoint now) {
   if (snapshot.configuration) {
-    OnConfiguration(*snapshot.configuration);
+    OnConfiguration(*snapshot.configuration, now);
   }
   for (const request::Failure& it : snapshot.skipped) {
     LogUnreadable("cannot read an object of a peer", "", it);
@@ -146,6 +188,15 @@
   return record;
 }
 
+void EntryKnowledge::LogHeldBack(std::string_view message,
+                                 const std::string& what) const {
+  logger_->Log(LogLevel::kWarning, LogEvent::kHeldBack, message,
+               {{"held_back", what}});
+  if (outputs_.held_back) {
+    outputs_.held_back();
+  }
+}
+
 void EntryKnowledge::LogUnreadable(std::string_view message,
                                    const std::string& path,
                                    const request::Failure& failure) const {
--- a/packages/process/src/log_event.cc
+++ b/packages/process/src/log_event.cc
@@ -50,6 +50,10 @@
       return "peer_told";
     case LogEvent::kPeerFailed:
       return "peer_failed";
+    case LogEvent::kStoreEraChanged:
+      return "store_era_changed";
+    case LogEvent::kHeldBack:
+      return "held_back";
     case LogEvent::kMemberStateChanged:
       return "member_state_changed";
     case LogEvent::kMassEvictionHeld:
--- a/packages/process/src/node_metrics.cc
+++ b/packages/process/src/node_metrics.cc
@@ -82,7 +82,12 @@
       route_revision_(AddGauge(&registry_, "kumquatvalve_route_revision",
                                "Store revision of the routes in force.")),
       upstreams_(AddGauge(&registry_, "kumquatvalve_upstreams",
-                          "Upstream records in force.")) {}
+                          "Upstream records in force.")),
+      store_era_(AddGauge(&registry_, "kumquatvalve_store_era",
+                          "Highest era of the store that was seen.")),
+      held_back_(AddCounter(
+          &registry_, "kumquatvalve_store_era_held_back_total",
+          "Configurations and records of a new era that were held back.")) {}
 
 void NodeMetrics::OnStoreCall(std::string_view method,
                               std::chrono::microseconds elapsed,
--- a/packages/process/src/peer_snapshot.cc
+++ b/packages/process/src/peer_snapshot.cc
@@ -11,9 +11,13 @@
 using Json = nlohmann::json;
 
 Json Encode(const StoredObject& object) {
-  return {{"path", object.path},
-          {"version", object.version.value},
-          {"body", object.body}};
+  Json value = {{"path", object.path},
+                {"version", object.version.value},
+                {"body", object.body}};
+  if (object.version.era != 0) {
+    value["era"] = object.version.era;
+  }
+  return value;
 }
 
 // A configuration and 4,700 records with room to spare.
@@ -36,10 +40,13 @@
   auto path = ReadString(*value, "path", kMaxPathBytes);
   const auto version = ReadUnsigned(*value, "version", UINT64_MAX);
   auto body = ReadString(*value, "body", kObjectLimits.max_bytes);
-  if (!path || !version || !body) {
+  const auto era = value->contains("era")
+                       ? ReadUnsigned(*value, "era", UINT64_MAX)
+                       : uint64_t{0};
+  if (!path || !version || !body || !era) {
     return FailBadAnswer("an object of a peer snapshot lacks a field", failure);
   }
-  return StoredObject{std::move(*path), {*version}, std::move(*body)};
+  return StoredObject{std::move(*path), {*version, *era}, std::move(*body)};
 }
 
 }  // namespace
--- a/packages/process/test/address_history_codec_test.cc
+++ b/packages/process/test/address_history_codec_test.cc
@@ -12,7 +12,7 @@
 TEST_CASE("address_history_codec: a report survives encoding and decoding") {
   request::Failure failure;
   AddressHistoryReport report;
-  report.revision = 12;
+  report.revision = {12, 3};
   report.span = milliseconds(61000);
   report.uses = {{*request::ParseEndpoint("198.18.0.1:443", &failure),
                   request::ServiceName("patio"), milliseconds(2500)}};
@@ -24,6 +24,16 @@
   CHECK(read->uses == report.uses);
 }
 
+TEST_CASE("address_history_codec: a report without an era is of era 0") {
+  request::Failure failure;
+  const auto read =
+      DecodeAddressHistory(R"({"revision":3,"span_ms":5,"uses":[]})", &failure);
+  REQUIRE(read);
+  CHECK(read->revision == request::TableVersion{3, 0});
+  // Without eras the text is that of earlier versions.
+  CHECK(EncodeAddressHistory(*read).find("era") == std::string::npos);
+}
+
 // A report with a service left out, or a wrong span, would let its reader take
 // flows for lost.
 TEST_CASE("address_history_codec: a part of a report is not a report") {
@@ -36,6 +46,7 @@
        {std::string(), std::string("{}"), std::string("[]"),
         std::string(R"({"span_ms":5,"uses":[]})"),
         std::string(R"({"revision":3,"span_ms":-1,"uses":[]})"),
+        std::string(R"({"revision":3,"era":-1,"span_ms":5,"uses":[]})"),
         std::string(R"({"revision":3,"span_ms":1e300,"uses":[]})"),
         std::string(R"({"revision":3,"span_ms":5,"uses":7})"), head + "7]}",
         head + use + ",{}]}",
--- a/packages/process/test/decision_log_test.cc
+++ b/packages/process/test/decision_log_test.cc
@@ -58,7 +58,7 @@
   decision.flow = {*request::ParseEndpoint("100.64.0.7:40001", &failure),
                    *request::ParseEndpoint("198.18.0.1:443", &failure),
                    IPPROTO_TCP};
-  decision.route_revision = 12;
+  decision.route_revision = {12, 3};
   return decision;
 }
 
@@ -73,6 +73,7 @@
   CHECK(lines[0]["msg"] == "overloaded");
   CHECK(lines[0]["flow"] == "100.64.0.7:40001>198.18.0.1:443");
   CHECK(lines[0]["route_revision"] == "12");
+  CHECK(lines[0]["route_era"] == "3");
 }
 
 TEST_CASE(
--- a/packages/process/test/entry_knowledge_test.cc
+++ b/packages/process/test/entry_knowledge_test.cc
@@ -45,7 +45,7 @@
               return std::nullopt;
             }
             version::RouteMap map;
-            map.revision = object.version.value;
+            map.revision = object.version;
             map.version = std::stoull(object.body);
             return map;
           },
@@ -77,6 +77,7 @@
   std::vector<uint64_t> versions;
   std::vector<std::vector<version::UpstreamRecord>> upstreams;
   int unreadable = 0;
+  int held_back = 0;
   Logger logger{"test", LogFormat::kJson, LogLevel::kError};
   EntryKnowledge::TimePoint now = kNow;
   EntryKnowledge knowledge{
@@ -84,7 +85,8 @@
       {.routes = [this](auto map) { versions.push_back(map->version); },
        .upstreams = [this](auto records,
                            auto) { upstreams.push_back(records); },
-       .unreadable = [this] { ++unreadable; }},
+       .unreadable = [this] { ++unreadable; },
+       .held_back = [this] { ++held_back; }},
       &logger};
 };
 
@@ -94,7 +96,7 @@
     "entry_knowledge: a peer snapshot provides all that a restarted instance "
     "needs") {
   Fixture established;
-  established.knowledge.OnConfiguration({"config/main", {7}, "3"});
+  established.knowledge.OnConfiguration({"config/main", {7}, "3"}, kNow);
   established.knowledge.OnStoredRecords(
       {{"u/10.0.0.1", RecordObject("10.0.0.1")}}, established.now,
       established.now);
@@ -122,7 +124,7 @@
 
 TEST_CASE("entry_knowledge: an older configuration from a peer is ignored") {
   Fixture f;
-  f.knowledge.OnConfiguration({"config/main", {7}, "3"});
+  f.knowledge.OnConfiguration({"config/main", {7}, "3"}, kNow);
   PeerSnapshot snapshot;
   snapshot.configuration = StoredObject{"config/main", {5}, "2"};
   f.knowledge.OnPeerSnapshot(snapshot, f.now);
@@ -135,9 +137,9 @@
     "entry_knowledge: an unreadable configuration leaves the previous one in "
     "force") {
   Fixture f;
-  CHECK(f.knowledge.OnConfiguration({"config/main", {7}, "3"}));
+  CHECK(f.knowledge.OnConfiguration({"config/main", {7}, "3"}, kNow));
   // Flows without a route must not be taken for flows of a removed one.
-  CHECK_FALSE(f.knowledge.OnConfiguration({"config/main", {8}, "bad"}));
+  CHECK_FALSE(f.knowledge.OnConfiguration({"config/main", {8}, "bad"}, kNow));
   CHECK(f.versions == std::vector<uint64_t>{3});
   CHECK(f.knowledge.Snapshot(kNow).configuration->version.value == 7);
 }
@@ -253,5 +255,57 @@
   CHECK(f.upstreams[3].empty());
 }
 
+// After the store had gone back in time, instances that had seen the lost
+// configuration ignored the ones that the operator wrote again.
+TEST_CASE("entry_knowledge: a configuration of a new era is used") {
+  Fixture f;
+  f.knowledge.OnConfiguration({"config/main", {110}, "5"}, kNow);
+  CHECK(f.knowledge.OnConfiguration({"config/main", {90, 1}, "4"}, kNow));
+  CHECK(f.knowledge.OnConfiguration({"config/main", {90, 1}, "4"}, kNow));
+  CHECK(f.versions == std::vector<uint64_t>{5});
+  CHECK(f.held_back == 1);
+  CHECK(f.knowledge.Snapshot(kNow).configuration->body == "5");
+  f.knowledge.OnConfiguration({"config/main", {95, 1}, "6"}, kNow);
+  CHECK(f.versions == std::vector<uint64_t>{5, 6});
+  // Nothing is left to be put in force later.
+  f.knowledge.OnTick(kNow + std::chrono::seconds(60));
+  CHECK(f.versions.size() == 2);
+}
+
+TEST_CASE("entry_knowledge: what is held back is used after 30 s") {
+  Fixture f;
+  f.knowledge.OnConfiguration({"config/main", {110}, "5"}, kNow);
+  f.knowledge.OnConfiguration({"config/main", {90, 1}, "4"}, kNow);
+  f.knowledge.OnStoredRecords(
+      {{"u/10.0.0.1", {"u/10.0.0.1", {1}, "10.0.0.1#2000"}}}, kNow, kNow);
+  f.knowledge.OnStoredRecords(
+      {{"u/10.0.0.1", {"u/10.0.0.1", {1, 1}, "10.0.0.1"}}}, kNow, kNow, 1);
+  REQUIRE(f.upstreams.back().size() == 1);
+  CHECK(f.upstreams.back()[0].incarnation_ms == 2000);
+  CHECK(f.held_back == 2);
+  f.knowledge.OnTick(kNow + milliseconds(29000));
+  CHECK(f.versions == std::vector<uint64_t>{5});
+  f.knowledge.OnTick(kNow + milliseconds(30000));
+  CHECK(f.versions == std::vector<uint64_t>{5, 4});
+  CHECK(f.upstreams.back()[0].incarnation_ms == kIncarnationMs);
+}
+
+// An instance of an earlier version of the program has no eras: its
+// configuration brought the lost one back.
+TEST_CASE("entry_knowledge: of two peers the one of the later era counts") {
+  Fixture ahead;
+  ahead.knowledge.OnConfiguration({"config/main", {95, 1}, "6"}, kNow);
+  Fixture behind;
+  behind.knowledge.OnConfiguration({"config/main", {110}, "5"}, kNow);
+  ahead.knowledge.OnPeerSnapshot(behind.knowledge.Snapshot(kNow), kNow);
+  CHECK(ahead.versions == std::vector<uint64_t>{6});
+  Failure failure;
+  const auto received = DecodePeerSnapshot(
+      EncodePeerSnapshot(ahead.knowledge.Snapshot(kNow)), &failure);
+  REQUIRE(received);
+  behind.knowledge.OnPeerSnapshot(*received, kNow);
+  CHECK(behind.versions == std::vector<uint64_t>{5, 6});
+}
+
 }  // namespace
 }  // namespace kumquatvalve::process
--- a/packages/process/test/peer_client_test.cc
+++ b/packages/process/test/peer_client_test.cc
@@ -114,7 +114,7 @@
                            Loopback(old.server.port())});
   const auto reports = client.FetchAddressHistories(&failure);
   REQUIRE(reports.size() == 2);
-  CHECK(reports[0].revision == 4);
+  CHECK(reports[0].revision.value == 4);
   CHECK(reports[1].span.count() == 70000);
   CHECK(reports[1].uses.size() == 1);
   CHECK(failure.code == ResultCode::kBadAnswer);
--- a/packages/process/test/record_keeper_test.cc
+++ b/packages/process/test/record_keeper_test.cc
@@ -6,6 +6,7 @@
 #include <map>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "kumquatvalve/process/record_remover.h"
@@ -46,7 +47,7 @@
         *why = {ResultCode::kAlreadyExists, path};
         return false;
       }
-      objects[path] = {path, TableVersion{++revision}, body};
+      objects[path] = {path, TableVersion{++revision, era}, body};
       return true;
     });
   }
@@ -60,7 +61,7 @@
         *why = {ResultCode::kConflict, path};
         return false;
       }
-      it->second = {path, TableVersion{++revision}, body};
+      it->second = {path, TableVersion{++revision, era}, body};
       return true;
     });
   }
@@ -83,7 +84,17 @@
   void Interrupt() {}
 
   std::map<std::string, StoredObject> objects;
+  /// Goes back in time: the object is `body` at `revision` of the next era.
+  void GoBack(const std::string& path, uint64_t restored_revision,
+              const std::string& body) {
+    revision = restored_revision;
+    objects[path] = {path, TableVersion{revision, ++era}, body};
+  }
+
   uint64_t revision = 10;
+  uint64_t era = 0;
+  /// Called once, when the next write arrives.
+  std::function<void()> at_write;
   std::deque<Fault> faults;
   int writes = 0;
 
@@ -106,6 +117,9 @@
       return std::nullopt;
     }
     ++writes;
+    if (at_write) {
+      std::exchange(at_write, nullptr)();
+    }
     if (!apply(failure)) {
       return std::nullopt;
     }
@@ -221,6 +235,70 @@
   CHECK(f.writes_when_absent == std::vector{0});
 }
 
+// The store does not know eras of versions that it is given: a write with a
+// version of the old era may match the revision of another object.
+TEST_CASE(
+    "record_keeper: a write under way while the store goes back is verified") {
+  Fixture f;
+  f.store.objects[kPath] = {kPath, TableVersion{10}, "old"};
+  std::vector<std::string> found;
+  f.on_found = [&](const std::string& body) { found.push_back(body); };
+  f.store.at_write = [&f] {
+    f.store.GoBack(kPath, 10, "restored");
+    f.store.objects[kPath].version.era = 0;
+    f.keeper.OnEra(1);
+  };
+  f.RunUntilInSync("a");
+  CHECK(f.store.objects.at(kPath).body == "a");
+  // The second read is of the new era.
+  CHECK(found == std::vector<std::string>{"old", "a"});
+  CHECK(f.store.writes == 1);
+}
+
+// A write that failed in the new era was repeated with the version of the old
+// one.
+TEST_CASE("record_keeper: a version of an earlier era is not used again") {
+  Fixture f;
+  f.RunUntilInSync("a");
+  std::vector<std::string> found;
+  Fixture g;
+  g.on_found = [&](const std::string& body) { found.push_back(body); };
+  std::thread thread([&g] { g.keeper.Run(); });
+  const auto wait = [&g] {
+    while (!g.keeper.in_sync()) {
+      std::this_thread::yield();
+    }
+  };
+  g.keeper.SetDesired("a");
+  wait();
+  g.store.GoBack(kPath, 5, "restored");
+  g.keeper.OnEra(1);
+  wait();
+  CHECK(g.store.objects.at(kPath).body == "a");
+  CHECK(g.store.writes == 2);
+  // Without a change the record is read and not written.
+  g.store.GoBack(kPath, 5, "a");
+  g.keeper.OnEra(2);
+  wait();
+  CHECK(g.store.writes == 2);
+  g.keeper.OnEra(1);
+  CHECK(g.keeper.in_sync());
+  g.keeper.Stop();
+  thread.join();
+  CHECK(found == std::vector<std::string>{"restored", "a"});
+}
+
+// The store went back while it was unavailable to the sidecar.
+TEST_CASE("record_keeper: a rise before the store responds is no obstacle") {
+  Fixture f;
+  f.store.GoBack(kPath, 5, "restored");
+  f.store.faults = {FakeStore::Fault::kUnavailable};
+  f.keeper.OnEra(1);
+  f.RunUntilInSync("a");
+  CHECK(f.store.objects.at(kPath).body == "a");
+  CHECK(f.store.writes == 1);
+}
+
 // A sidecar that was wrongly presumed dead may have written a new record
 // meanwhile, which must stay.
 TEST_CASE("record_remover: only an unchanged record is removed") {
--- a/packages/process/test/store_watcher_test.cc
+++ b/packages/process/test/store_watcher_test.cc
@@ -20,6 +20,7 @@
   }
   std::optional<ObjectList> List(const std::string&, Failure* failure) {
     calls.emplace_back("list");
+    at_list();
     return TakeScripted(&lists, failure);
   }
   std::optional<TableVersion> Create(const std::string&, const std::string&,
@@ -60,6 +61,7 @@
   std::deque<std::optional<ObjectList>> lists;
   std::deque<std::optional<WatchAnswer>> watches;
   std::vector<std::string> calls;
+  std::function<void()> at_list = [] {};
   std::chrono::milliseconds longest_watch{0};
   std::function<void()> at_end;
   std::function<void()> at_watch = [] {};
@@ -256,5 +258,95 @@
   CHECK(f.complete_at[0] < f.complete_at[1]);
 }
 
+StoredObject ObjectOfEra(const std::string& path, uint64_t version,
+                         uint64_t era, const std::string& body) {
+  return {path, TableVersion{version, era}, body};
+}
+
+// A store that had gone back in time assigned revisions again: a watch from the
+// old one missed the changes up to it, and returned none while it was larger.
+TEST_CASE("store_watcher: a new era is listed before it is watched") {
+  Fixture f;
+  f.store.lists = {
+      ObjectList{{Object("u/1", 3, "a"), Object("u/2", 9, "lost")}, {9}},
+      ObjectList{{ObjectOfEra("u/1", 4, 1, "b")}, {4, 1}}};
+  f.store.watches = {
+      WatchAnswer{{}, {0, 1}, false},
+      WatchAnswer{{{ObjectOfEra("u/1", 5, 1, "c"), false}}, {5, 1}, false}};
+  f.watcher.Run();
+  CHECK(f.store.calls == std::vector<std::string>{"list", "watch 9", "list",
+                                                  "watch 4", "watch 5"});
+  REQUIRE(f.seen.size() == 3);
+  CHECK(f.seen[1].size() == 1);
+  CHECK(f.seen[2].at("u/1").body == "c");
+  CHECK(f.watcher.version() == TableVersion{5, 1});
+}
+
+// A watch that may be served late noticed a new era only with its next
+// response, up to 10 s later.
+TEST_CASE("store_watcher: an era that another watcher noticed is listed") {
+  Fixture f;
+  f.store.lists = {ObjectList{{}, {9}}, ObjectList{{}, {7, 2}}};
+  // The watch in progress is interrupted; its response may have arrived before.
+  f.store.watches = {WatchAnswer{{}, {9}, false},
+                     WatchAnswer{{}, {8, 2}, false},
+                     WatchAnswer{{}, {8, 2}, false}};
+  f.store.at_watch = [&f] {
+    if (f.store.calls.size() == 2) {
+      // Two rises in a row, reported out of order.
+      f.watcher.OnEra(2);
+      f.watcher.OnEra(1);
+    } else if (f.store.calls.size() == 5) {
+      f.watcher.OnEra(2);
+    }
+  };
+  f.watcher.Run();
+  CHECK(f.store.calls == std::vector<std::string>{"list", "watch 9", "list",
+                                                  "watch 7", "watch 8",
+                                                  "watch 8"});
+}
+
+// The store went back while it was unavailable: the retry was a watch from a
+// revision of the old era.
+TEST_CASE("store_watcher: a rise while the store is unavailable is listed") {
+  Fixture f;
+  f.store.lists = {ObjectList{{Object("u/1", 3, "a")}, {9}}, std::nullopt,
+                   ObjectList{{ObjectOfEra("u/1", 2, 1, "b")}, {4, 1}}};
+  f.store.watches = {std::nullopt};
+  f.store.at_watch = [&f] {
+    if (f.store.calls.size() == 2) {
+      f.watcher.OnEra(1);
+    }
+  };
+  f.watcher.Run();
+  CHECK(f.store.calls ==
+        std::vector<std::string>{"list", "watch 9", "list", "list", "watch 4"});
+  CHECK(f.seen.back().at("u/1").body == "b");
+}
+
+// A response that was under way while the store went back, or one of a part of
+// the store that still has the old state, brought lost objects back.
+TEST_CASE("store_watcher: responses of an earlier era are ignored") {
+  Fixture f;
+  f.store.lists = {ObjectList{{ObjectOfEra("u/1", 3, 1, "new")}, {4, 1}}};
+  f.store.watches = {
+      WatchAnswer{{{Object("u/1", 9, "lost"), false}}, {9}, false},
+      WatchAnswer{{{Object("u/2", 9, "lost"), false}}, {9}, true}};
+  f.watcher.Run();
+  CHECK(f.seen.size() == 1);
+  CHECK(f.store.calls ==
+        std::vector<std::string>{"list", "watch 4", "watch 4", "watch 4"});
+}
+
+// A process that starts in a later era listed twice, or waited before it had
+// read anything.
+TEST_CASE("store_watcher: the first list of a process is not repeated") {
+  Fixture f;
+  f.store.lists = {ObjectList{{}, {7, 3}}};
+  f.store.at_list = [&f] { f.watcher.OnEra(3); };
+  f.watcher.Run();
+  CHECK(f.store.calls == std::vector<std::string>{"list", "watch 7"});
+}
+
 }  // namespace
 }  // namespace kumquatvalve::process
--- a/packages/request/include/kumquatvalve/request/ids.h
+++ b/packages/request/include/kumquatvalve/request/ids.h
@@ -55,8 +55,21 @@
 /// start had a later time.
 using Incarnation = NumberId<struct IncarnationTag, uint64_t>;
 
-/// The store revision of a forwarding table or a settings object.
-using TableVersion = NumberId<struct TableVersionTag, uint64_t>;
+/// The store revision of an object. Versions are ordered by era first: a store
+/// that was restored from a copy begins a new era and assigns revisions again.
+struct TableVersion {
+  uint64_t value = 0;
+  /// Number of times that the store went back; 0 for a store without eras.
+  uint64_t era = 0;
+
+  friend constexpr bool operator==(const TableVersion&,
+                                   const TableVersion&) = default;
+  friend constexpr std::strong_ordering operator<=>(const TableVersion& a,
+                                                    const TableVersion& b) {
+    const auto by_era = a.era <=> b.era;
+    return by_era != 0 ? by_era : a.value <=> b.value;
+  }
+};
 
 /// Index of a row of a forwarding table.
 using RowIndex = NumberId<struct RowIndexTag, uint32_t>;
@@ -81,4 +94,12 @@
   }
 };
 
+template <>
+struct std::hash<kumquatvalve::request::TableVersion> {
+  size_t operator()(const kumquatvalve::request::TableVersion& version) const {
+    // The era is small, and revisions of one era differ in their lower bits.
+    return std::hash<uint64_t>()(version.value ^ (version.era << 48));
+  }
+};
+
 #endif  // KUMQUATVALVE_REQUEST_IDS_H_
--- a/packages/version/include/kumquatvalve/version/route_map.h
+++ b/packages/version/include/kumquatvalve/version/route_map.h
@@ -52,7 +52,7 @@
 /// forwarded.
 struct RouteMap {
   /// Store revision of the object; a larger one is newer.
-  uint64_t revision = 0;
+  request::TableVersion revision;
   /// Version number that the operator assigned.
   uint64_t version = 0;
   std::map<request::Endpoint, Route> routes;
@@ -85,6 +85,9 @@
   /// Number of requests that the upstream processes concurrently.
   uint32_t slots = 0;
   bool draining = false;
+  /// The store has gone back in time and lacks this record; its sidecar has to
+  /// write it again. Not part of the stored record.
+  bool missing_in_store = false;
 
   friend bool operator==(const UpstreamRecord&,
                          const UpstreamRecord&) = default;
