--- a/packages/process/test/record_keeper_test.cc
+++ b/packages/process/test/record_keeper_test.cc
@@ -57,7 +57,7 @@
                                      Failure* failure) {
     return Write(path, failure, [&](Failure* why) {
       const auto it = objects.find(path);
-      if (it == objects.end() || it->second.version != expected) {
+      if (it == objects.end() || it->second.version.value != expected.value) {
         *why = {ResultCode::kConflict, path};
         return false;
       }
@@ -69,7 +69,7 @@
                                      TableVersion expected, Failure* failure) {
     return Write(path, failure, [&](Failure* why) {
       const auto it = objects.find(path);
-      if (it == objects.end() || it->second.version != expected) {
+      if (it == objects.end() || it->second.version.value != expected.value) {
         *why = {ResultCode::kConflict, path};
         return false;
       }
@@ -245,7 +245,6 @@
   f.on_found = [&](const std::string& body) { found.push_back(body); };
   f.store.at_write = [&f] {
     f.store.GoBack(kPath, 10, "restored");
-    f.store.objects[kPath].version.era = 0;
     f.keeper.OnEra(1);
   };
   f.RunUntilInSync("a");
@@ -258,32 +257,30 @@
 // A write that failed in the new era was repeated with the version of the old
 // one.
 TEST_CASE("record_keeper: a version of an earlier era is not used again") {
-  Fixture f;
-  f.RunUntilInSync("a");
   std::vector<std::string> found;
-  Fixture g;
-  g.on_found = [&](const std::string& body) { found.push_back(body); };
-  std::thread thread([&g] { g.keeper.Run(); });
-  const auto wait = [&g] {
-    while (!g.keeper.in_sync()) {
+  Fixture f;
+  f.on_found = [&](const std::string& body) { found.push_back(body); };
+  std::thread thread([&f] { f.keeper.Run(); });
+  const auto wait = [&f] {
+    while (!f.keeper.in_sync()) {
       std::this_thread::yield();
     }
   };
-  g.keeper.SetDesired("a");
+  f.keeper.SetDesired("a");
   wait();
-  g.store.GoBack(kPath, 5, "restored");
-  g.keeper.OnEra(1);
+  f.store.GoBack(kPath, 5, "restored");
+  f.keeper.OnEra(1);
   wait();
-  CHECK(g.store.objects.at(kPath).body == "a");
-  CHECK(g.store.writes == 2);
+  CHECK(f.store.objects.at(kPath).body == "a");
+  CHECK(f.store.writes == 2);
   // Without a change the record is read and not written.
-  g.store.GoBack(kPath, 5, "a");
-  g.keeper.OnEra(2);
+  f.store.GoBack(kPath, 5, "a");
+  f.keeper.OnEra(2);
   wait();
-  CHECK(g.store.writes == 2);
-  g.keeper.OnEra(1);
-  CHECK(g.keeper.in_sync());
-  g.keeper.Stop();
+  CHECK(f.store.writes == 2);
+  f.keeper.OnEra(1);
+  CHECK(f.keeper.in_sync());
+  f.keeper.Stop();
   thread.join();
   CHECK(found == std::vector<std::string>{"restored", "a"});
 }
