--- a/packages/connection/include/kumquatvalve/connection/entry_decision.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_decision.h
@@ -74,7 +74,7 @@
   std::chrono::microseconds expected_wait{0};
   SubsetUse subset_use = SubsetUse::kNone;
   /// Store revision of the routes in force.
-  uint64_t route_revision = 0;
+  request::TableVersion route_revision;
   request::ReturnReason reason = request::ReturnReason::kNone;
   /// The flow was refused while the only upstreams left for it are in evacuated
   /// zones.
--- a/packages/connection/include/kumquatvalve/connection/zone_evacuation.h
+++ b/packages/connection/include/kumquatvalve/connection/zone_evacuation.h
@@ -54,6 +54,10 @@
                                          EvacuationSource source,
                                          TimePoint now);
 
+  /// Ends evacuations that were held for `kMaxEraHold`.
+  /// @return nothing when there are none.
+  std::optional<EvacuationChange> OnTick(TimePoint now);
+
   /// Whether a list has been applied. Before that, any zone may be evacuated.
   bool known() const { return version_.has_value(); }
 
@@ -68,6 +72,8 @@
   /// Version of the set in force.
   std::optional<request::TableVersion> version_;
   EvacuatedZones zones_;
+  /// Zones that the lists of the current era lack, with the end of the hold.
+  EvacuatedZones held_until_;
 };
 
 }  // namespace kumquatvalve::connection
--- a/packages/connection/src/zone_evacuation.cc
+++ b/packages/connection/src/zone_evacuation.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "kumquatvalve/connection/store_era.h"
+
 namespace kumquatvalve::connection {
 
 std::optional<EvacuationChange> ZoneEvacuation::OnList(
@@ -9,6 +11,15 @@
   if (!IsApplicable(list, source)) {
     return std::nullopt;
   }
+  if (version_ && list.version.era > version_->era) {
+    held_until_.clear();
+    for (const auto& [zone, since] : zones_) {
+      held_until_.emplace(zone, now + kMaxEraHold);
+    }
+  }
+  std::erase_if(held_until_, [&](const auto& it) {
+    return list.zones.contains(it.first) || now >= it.second;
+  });
   EvacuationChange change;
   EvacuatedZones updated;
   for (const request::AvailabilityZone& it : list.zones) {
@@ -19,7 +30,9 @@
     updated.emplace(it, previous == zones_.end() ? now : previous->second);
   }
   for (const auto& [zone, since] : zones_) {
-    if (!updated.contains(zone)) {
+    if (held_until_.contains(zone)) {
+      updated.emplace(zone, since);
+    } else if (!updated.contains(zone)) {
       change.ended.push_back(zone);
     }
   }
@@ -28,6 +41,19 @@
   return change;
 }
 
+std::optional<EvacuationChange> ZoneEvacuation::OnTick(TimePoint now) {
+  EvacuationChange change;
+  std::erase_if(held_until_, [&](const auto& it) {
+    const bool is_over = now >= it.second;
+    if (is_over) {
+      change.ended.push_back(it.first);
+      zones_.erase(it.first);
+    }
+    return is_over;
+  });
+  return change.ended.empty() ? std::nullopt : std::optional(std::move(change));
+}
+
 std::optional<EvacuationList> ZoneEvacuation::Report() const {
   if (!version_) {
     return std::nullopt;
--- a/packages/connection/test/zone_evacuation_test.cc
+++ b/packages/connection/test/zone_evacuation_test.cc
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "kumquatvalve/connection/store_era.h"
+
 namespace kumquatvalve::connection {
 namespace {
 
@@ -51,5 +53,30 @@
   CHECK(evacuation.zones() == EvacuatedZones{{kB, later}, {kC, kNow}});
 }
 
+// Guards against new flows in an evacuated zone after the store was restored
+// from a copy without the evacuation, and against one that never ends since the
+// operator ended it while the store was away.
+TEST_CASE("zone_evacuation: a restored store ends no evacuation for 30 s") {
+  ZoneEvacuation evacuation;
+  evacuation.OnList({{900, 1}, {kA, kC}}, EvacuationSource::kStore, kNow);
+  evacuation.OnList({{400, 2}, {kB}}, EvacuationSource::kStore, kNow);
+  CHECK(evacuation.Report()->zones == std::set{kA, kB, kC});
+  // The operator has written one of the two again.
+  evacuation.OnList({{401, 2}, {kB, kC}}, EvacuationSource::kStore, kNow);
+  CHECK_FALSE(
+      evacuation.OnTick(kNow + kMaxEraHold - std::chrono::milliseconds(1)));
+  const auto change = evacuation.OnTick(kNow + kMaxEraHold);
+  REQUIRE(change);
+  CHECK(change->ended == std::vector{kA});
+  CHECK(evacuation.Report()->zones == std::set{kB, kC});
+  // Within one era a removal counts at once.
+  const auto later = kNow + kMaxEraHold;
+  CHECK(evacuation.OnList({{402, 2}, {kB}}, EvacuationSource::kStore, later)
+            ->ended == std::vector{kC});
+  // A list of the era before is out of date, whatever its revision.
+  CHECK_FALSE(
+      evacuation.OnList({{950, 1}, {}}, EvacuationSource::kStore, later));
+}
+
 }  // namespace
 }  // namespace kumquatvalve::connection
--- a/packages/process/include/kumquatvalve/process/evacuation_knowledge.h
+++ b/packages/process/include/kumquatvalve/process/evacuation_knowledge.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <functional>
 #include <mutex>
+#include <string_view>
 
 #include "kumquatvalve/connection/zone_evacuation.h"
 #include "kumquatvalve/process/logging.h"
@@ -29,6 +30,10 @@
   void OnList(const connection::EvacuationList& list,
               connection::EvacuationSource source, TimePoint now);
 
+  /// Ends evacuations that were held for long enough after the store's era
+  /// rose; see `ZoneEvacuation`.
+  void OnTick(TimePoint now);
+
   /// Adds the set in force to what is sent to a peer.
   void AddTo(PeerSnapshot* snapshot) const;
 
@@ -36,6 +41,10 @@
   bool known() const;
 
  private:
+  // Logs and passes on a change of the set. `mutex_` must be locked.
+  void Report(const connection::EvacuationChange& change,
+              std::string_view source);
+
   Listener listener_;
   const Logger* logger_;
   mutable std::mutex mutex_;
--- a/packages/process/src/evacuation_knowledge.cc
+++ b/packages/process/src/evacuation_knowledge.cc
@@ -13,22 +13,34 @@
                                  connection::EvacuationSource source,
                                  TimePoint now) {
   const std::lock_guard lock(mutex_);
-  const auto change = evacuation_.OnList(list, source, now);
-  if (!change) {
-    return;
+  if (const auto change = evacuation_.OnList(list, source, now)) {
+    Report(*change, Name(source));
   }
+}
+
+void EvacuationKnowledge::OnTick(TimePoint now) {
+  const std::lock_guard lock(mutex_);
+  if (const auto change = evacuation_.OnTick(now)) {
+    Report(*change, "not written again after the store was restored");
+  }
+}
+
+void EvacuationKnowledge::Report(const connection::EvacuationChange& change,
+                                 std::string_view source) {
+  const auto version = evacuation_.Report()->version;
   const auto log = [&](LogEvent event, const request::AvailabilityZone& zone) {
-    logger_->Log(LogLevel::kWarning, event, Name(source),
+    logger_->Log(LogLevel::kWarning, event, source,
                  {{"zone", zone.text()},
-                  {"version", std::to_string(list.version.value)}});
+                  {"version", std::to_string(version.value)},
+                  {"era", std::to_string(version.era)}});
   };
-  for (const request::AvailabilityZone& it : change->evacuated) {
+  for (const request::AvailabilityZone& it : change.evacuated) {
     log(LogEvent::kZoneEvacuated, it);
   }
-  for (const request::AvailabilityZone& it : change->ended) {
+  for (const request::AvailabilityZone& it : change.ended) {
     log(LogEvent::kEvacuationEnded, it);
   }
-  listener_(evacuation_.zones(), *change);
+  listener_(evacuation_.zones(), change);
 }
 
 void EvacuationKnowledge::AddTo(PeerSnapshot* snapshot) const {
--- a/packages/process/src/peer_snapshot.cc
+++ b/packages/process/src/peer_snapshot.cc
@@ -11,9 +11,13 @@
 using Json = nlohmann::json;
 
 Json Encode(const StoredObject& object) {
-  return {{"path", object.path},
-          {"version", object.version.value},
-          {"body", object.body}};
+  Json value = {{"path", object.path},
+                {"version", object.version.value},
+                {"body", object.body}};
+  if (object.version.era != 0) {
+    value["era"] = object.version.era;
+  }
+  return value;
 }
 
 // A configuration and 4,700 records with room to spare.
@@ -27,6 +31,9 @@
 
 Json Encode(const connection::EvacuationList& list) {
   Json value = {{"version", list.version.value}, {"zones", Json::array()}};
+  if (list.version.era != 0) {
+    value["era"] = list.version.era;
+  }
   for (const request::AvailabilityZone& it : list.zones) {
     value["zones"].push_back(it.text());
   }
@@ -47,10 +54,13 @@
   auto path = ReadString(*value, "path", kMaxPathBytes);
   const auto version = ReadUnsigned(*value, "version", UINT64_MAX);
   auto body = ReadString(*value, "body", kObjectLimits.max_bytes);
-  if (!path || !version || !body) {
+  const auto era = value->contains("era")
+                       ? ReadUnsigned(*value, "era", UINT64_MAX)
+                       : uint64_t{0};
+  if (!path || !version || !body || !era) {
     return FailBadAnswer("an object of a peer snapshot lacks a field", failure);
   }
-  return StoredObject{std::move(*path), {*version}, std::move(*body)};
+  return StoredObject{std::move(*path), {*version, *era}, std::move(*body)};
 }
 
 // A list is read as a whole or not at all: a zone that is missing in it is not
@@ -62,11 +72,14 @@
     return std::nullopt;
   }
   const auto version = ReadUnsigned(*value, "version", UINT64_MAX);
+  const auto era = value->contains("era")
+                       ? ReadUnsigned(*value, "era", UINT64_MAX)
+                       : std::optional<uint64_t>(0);
   const auto zones = value->find("zones");
-  if (!version || zones == value->end() || !zones->is_array()) {
+  if (!version || !era || zones == value->end() || !zones->is_array()) {
     return FailBadAnswer("the evacuated zones of a peer lack a field", failure);
   }
-  connection::EvacuationList list{{*version}, {}};
+  connection::EvacuationList list{{*version, *era}, {}};
   for (const Json& it : *zones) {
     if (!it.is_string()) {
       return FailBadAnswer("an evacuated zone of a peer is not a name",
