--- a/packages/connection/test/probe_window_test.cc
+++ b/packages/connection/test/probe_window_test.cc
@@ -100,7 +100,7 @@
   INFO("probes without the window "
        << without.probes << ", with it " << with.probes << "; time "
        << without.time.count() << " ms and " << with.time.count() << " ms");
-  constexpr size_t kNeeded = 150 * 23;
+  constexpr size_t kNeeded = size_t{150} * 23;
   CHECK(with.probes < kNeeded * 11 / 10);
   CHECK(without.probes > 3 * kNeeded);
   CHECK(with.time <= without.time);
