--- a/packages/connection/include/kumquatvalve/connection/entry_router.h
+++ b/packages/connection/include/kumquatvalve/connection/entry_router.h
@@ -701,7 +701,7 @@
     flow.last_packet_at = now;
     for (size_t i = 0; i < search->packets().size(); ++i) {
       // The probe has already delivered the first kept packet to this sidecar.
-      const bool already_sent = search->probed() && i == 0;
+      const bool already_sent = search->WasProbed(from) && i == 0;
       if (!already_sent) {
         Forward(from, reply.service, search->packets()[i], {}, now);
       }
--- a/packages/connection/include/kumquatvalve/connection/flow_search.h
+++ b/packages/connection/include/kumquatvalve/connection/flow_search.h
@@ -120,8 +120,9 @@
   bool AwaitsAnyReply() const { return FirstWithoutReply().has_value(); }
   /// A sidecar whose reply is pending; empty when all have replied.
   std::optional<request::Endpoint> FirstWithoutReply() const;
-  /// Whether `TakeSidecarsToProbe` has returned any sidecar.
-  bool probed() const { return probe_batches_ != 0; }
+  /// Whether the first kept packet was sent to the sidecar's upstream as a
+  /// probe.
+  bool WasProbed(const request::Endpoint& sidecar) const;
   TimePoint started_at() const { return started_at_; }
   /// When the last query was sent.
   TimePoint last_query_at() const { return last_query_at_; }
@@ -152,7 +153,8 @@
     Probing probing = Probing::kAllowed;
     TimePoint first_sent_at;
     Missed missed = Missed::kAny;
-    TimePoint probed_at{};
+    /// Empty until the upstream is probed.
+    std::optional<TimePoint> probed_at = std::nullopt;
   };
 
   // Whether the search waits for the reply to a query or a probe.
--- a/packages/connection/src/flow_search.cc
+++ b/packages/connection/src/flow_search.cc
@@ -80,8 +80,9 @@
   bool reply_may_arrive = false;
   for (const auto& [sidecar, query] : queries_) {
     const bool is_awaited = IsAwaited(query, now) && !is_dead(sidecar);
-    const TimePoint sent_at =
-        query.state == State::kProbed ? query.probed_at : query.first_sent_at;
+    const TimePoint sent_at = query.state == State::kProbed && query.probed_at
+                                  ? *query.probed_at
+                                  : query.first_sent_at;
     awaited += is_awaited ? 1 : 0;
     reply_may_arrive =
         reply_may_arrive || (is_awaited && now - sent_at < kReplyTimeout);
@@ -120,7 +121,12 @@
                                  TimePoint now) const {
   const auto it = queries_.find(sidecar);
   return it != queries_.end() && it->second.state == State::kProbed &&
-         now - it->second.probed_at < kReplyTimeout;
+         it->second.probed_at && now - *it->second.probed_at < kReplyTimeout;
+}
+
+bool FlowSearch::WasProbed(const request::Endpoint& sidecar) const {
+  const auto it = queries_.find(sidecar);
+  return it != queries_.end() && it->second.probed_at.has_value();
 }
 
 bool FlowSearch::RepliedNotHeld(const request::Endpoint& sidecar) const {
--- a/packages/connection/test/flow_search_test.cc
+++ b/packages/connection/test/flow_search_test.cc
@@ -154,7 +154,7 @@
   f.search.OnNotHeld(Sidecar(3));
   CHECK(f.NextStep() == Step::kProbe);
   CHECK(f.TakeSidecarsToProbe() == std::vector<request::Endpoint>{Sidecar(1)});
-  CHECK(f.search.probed());
+  CHECK(f.search.WasProbed(Sidecar(1)));
   CHECK(f.NextStep() == Step::kWait);
   f.search.OnNotHeld(Sidecar(1));
   CHECK(f.NextStep() == Step::kNotHeld);
@@ -177,5 +177,27 @@
   CHECK(f.search.packets().size() == 8);
 }
 
+// Guards against a kept packet that its holder never gets: with probes in
+// batches, another sidecar than the probed ones may reply that it holds the
+// flow.
+TEST_CASE("flow_search: a probe to one sidecar is none to another") {
+  Fixture f(2);
+  f.search.OnInconclusive(Sidecar(1));
+  f.search.OnInconclusive(Sidecar(2));
+  const auto chosen = f.search.TakeSidecarsToProbe(
+      f.now, [](std::span<const request::Endpoint> inconclusive, size_t) {
+        return std::vector{inconclusive.front()};
+      });
+  CHECK(chosen == std::vector{Sidecar(1)});
+  CHECK(f.search.WasProbed(Sidecar(1)));
+  CHECK_FALSE(f.search.WasProbed(Sidecar(2)));
+  // The next batch waits for the reply to the first one, for a while.
+  CHECK(f.NextStep() == Step::kWait);
+  CHECK(f.search.IsProbeInFlight(Sidecar(1), f.now));
+  f.now += FlowSearch::kReplyTimeout;
+  CHECK(f.NextStep() == Step::kProbe);
+  CHECK_FALSE(f.search.IsProbeInFlight(Sidecar(1), f.now));
+}
+
 }  // namespace
 }  // namespace kumquatvalve::connection
