--- a/apps/kumquatvalved/main.cc
+++ b/apps/kumquatvalved/main.cc
@@ -24,12 +24,6 @@
           "changes; for "
           "tests and for a process without an object API");
 
-ABSL_FLAG(std::string, evacuation_apply_ms, "",
-          "store, entry: the setting of this name; empty: as in the file");
-ABSL_FLAG(std::string, warm_up_slack, "",
-          "store, sidecar: the setting upstream.warm_up.slack; empty: as in "
-          "the file");
-
 namespace kumquatvalve::daemon {
 namespace {
 
@@ -44,12 +38,15 @@
     "store\n"
     "  --role=entry|sidecar    fleet: must match the role in the settings\n"
     "  --settings=FILE         YAML settings\n"
-    "  --evacuation_apply_ms=N store, entry: follows zone evacuations\n"
-    "  --warm_up_slack=N       store, sidecar: limits first packets to cold "
-    "upstreams\n"
     "  --static_tables=FILE    fleet: JSON tables instead of the control "
     "channel\n";
 
+// Empty when the variable is not set.
+std::string Environment(const char* name) {
+  const char* value = std::getenv(name);
+  return value == nullptr ? "" : value;
+}
+
 // Abseil's own --help exits with status 1.
 bool IsHelpRequested(int argc, char** argv) {
   return std::any_of(argv + 1, argv + argc, [](std::string_view it) {
@@ -61,8 +58,9 @@
   const std::string control = absl::GetFlag(FLAGS_control);
   if (control == "store") {
     const std::array<version::SettingOverride, 2> overrides = {{
-        {"evacuation_apply_ms", absl::GetFlag(FLAGS_evacuation_apply_ms)},
-        {"upstream.warm_up.slack", absl::GetFlag(FLAGS_warm_up_slack)},
+        {"evacuation_apply_ms",
+         Environment("KUMQUATVALVE_EVACUATION_APPLY_MS")},
+        {"upstream.warm_up.slack", Environment("KUMQUATVALVE_WARM_UP_SLACK")},
     }};
     return platform::RunNode(absl::GetFlag(FLAGS_settings), overrides);
   }
--- a/packages/version/include/kumquatvalve/version/node_settings.h
+++ b/packages/version/include/kumquatvalve/version/node_settings.h
@@ -68,7 +68,7 @@
   std::optional<std::chrono::milliseconds> evacuation_apply_limit;
 };
 
-/// A setting that the command line gives in place of the file, for deployments
+/// A setting that the environment gives in place of the file, for deployments
 /// whose settings template cannot leave a key out.
 struct SettingOverride {
   /// Full key with its sections, for example "upstream.warm_up.slack".
--- a/packages/version/test/node_settings_test.cc
+++ b/packages/version/test/node_settings_test.cc
@@ -139,10 +139,10 @@
   CHECK(ParseErrors(text).front().code != ResultCode::kOk);
 }
 
-// Guards against a flag that is ignored, or one without a value that removes
-// what the file says or fails the start.
+// Guards against a variable that is ignored, or one without a value that
+// removes what the file says or fails the start.
 TEST_CASE(
-    "node_settings: the command line gives settings in place of the file") {
+    "node_settings: the environment gives settings in place of the file") {
   const std::string sidecar = R"(
 role: sidecar
 instance: s-1
