Review: renumber the cases, gravest first, and keep the platform's names apart

Case 6 (one odd entry) becomes 7, case 7 (an entry of another writer) becomes 9. The platform's names stand in standins-2/platform.json, as scripts/check_platform.py wants them out of Python files. A script that gets SIGTERM ends its processes.

--- a/review/7/run.py
+++ b/review/7/run.py
@@ -1,6 +1,7 @@
-"""Another writer replaces the entry of a server, and a front machine is stopped and started in turn."""
+"""Another writer leaves one odd entry among those of the servers; then all processes are killed."""
 
 import asyncio
+import json
 import os
 import pathlib
 import signal
@@ -9,58 +10,63 @@
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins-2"))
 
-from small_deployment import CannotRun, Deployment, Route, disturbed, main  # noqa: E402
+from small_deployment import PAGE_BYTES, CannotRun, Deployment, Route, disturbed, main  # noqa: E402
 
 RECORDS = "kumquatvalve-upstreams"
-CLIENTS = 16
-PAUSE_S = 0.5
-REQUESTS = 100
+VALUE_BYTES = 1 << 20
 
 
-class World(Deployment):
-    def write_odd_entry(self, machine):
-        """Another writer replaces an entry by one with a service that is not named here."""
-        name = f"{machine.ip}-{self.packet_port}"
-        entry = self.store.objects[(RECORDS, name)]
-        self.store.put(RECORDS, name, entry["spec"] | {"service": "of-another-writer"})
-        self.log(f"another writer replaced {RECORDS}/{name}: {self.store.objects[(RECORDS, name)]['spec']}")
+def odd_entry(revision):
+    """An object within `valueBytes` that has nothing but many finalizers."""
+    meta = {"name": "0-of-another-writer", "rev": revision, "created": revision, "finalizers": [], "deleting": False}
+    entry = {"meta": meta, "spec": None, "status": None}
+    one = len(json.dumps("f-000000")) + len(", ")
+    meta["finalizers"] = [f"f-{i:06d}" for i in range((VALUE_BYTES - len(json.dumps(entry))) // one)]
+    return entry
 
 
-async def long_flow(world, caller, route):
-    end = await caller.flow(route, REQUESTS, PAUSE_S, limit=4.0)
-    world.log(f"a flow of {caller.ip} ended: {end}")
+async def requests(world, count):
+    """Sends requests from all clients; returns how many were answered."""
+    ends = []
+    for i in range(count):
+        route = world.routes[i % len(world.routes)]
+        ends += await asyncio.gather(*(it.flow(route, 1, 0) for it in world.callers))
+        await asyncio.sleep(0.1)
+    world.log(f"flows ended: {[end for _, end in ends]}")
+    return sum(end == "done" for _, end in ends), len(ends)
 
 
 async def play(folder):
-    world = World(folder, 10 + os.getpid() % 90, zones=("a", "a", "b"), services=("red", "red", "red"),
-                  clients=2 * CLIENTS)
-    route = Route("r-red", ("198.18.0.1", 443), "red", "unsafe")
+    world = Deployment(folder, 10 + os.getpid() % 90)
     try:
-        world.routes = [route]
+        world.routes = [Route("r-red", ("198.18.0.1", 443), "red"), Route("r-blue", ("198.18.0.2", 443), "blue")]
         await world.open()
-        callers = [it for it in world.callers if it.zone == "a"]
-        flows = [asyncio.create_task(long_flow(world, it, route)) for it in callers for _ in range(3)]
-        # No machine is disturbed and the store is calm for the whole stability window.
-        await asyncio.sleep(world.bounds["stabilityWindowMs"] / 1000)
-        server = world.upstreams["side-0"]
-        if not server.flows:
-            raise CannotRun("the server of the entry got no flow")
         if disturbed():
-            world.write_odd_entry(server.node)
-        await asyncio.sleep(1)
-        front = next(it for it in world.machines if it.role == "entry" and it.zone == "a")
-        starts = front.starts
-        world.signal(front, signal.SIGTERM)
-        while front.starts == starts or not front.ready:
-            await asyncio.sleep(0.05)
-        await asyncio.sleep(20)
-        for it in flows:
-            it.cancel()
-        spec = world.store.objects[(RECORDS, f"{server.node.ip}-{world.packet_port}")]["spec"]
-        world.log(f"the entry of {server.name} is now {spec}")
-        if world.resets:
-            world.add_violation("FLOW", f"{len(world.resets)} flows were reset while their servers held them; all "
-                                        "servers and side machines ran")
+            world.store.revision += 1
+            entry = odd_entry(world.store.revision)
+            size = len(json.dumps(entry))
+            if not VALUE_BYTES - 100 < size <= min(VALUE_BYTES, PAGE_BYTES):
+                raise CannotRun(f"the odd entry has {size} bytes")
+            world.store.objects[(RECORDS, entry["meta"]["name"])] = entry
+            world.store.add_event(RECORDS, entry, False)
+            world.log(f"another writer created {RECORDS}/{entry['meta']['name']}, {size} bytes")
+        await asyncio.sleep(2)
+        answered, sent = await requests(world, 4)
+        if 4 * answered < sent:
+            raise CannotRun(f"{answered} of {sent} requests answered before the final fault")
+        world.log("all processes are killed")
+        for machine in world.machines:
+            world.signal(machine, signal.SIGKILL)
+        await asyncio.sleep(2)
+        if any(it.process.poll() is not None for it in world.machines):
+            raise CannotRun("a process was not started again")
+        await asyncio.sleep(world.bounds["recoveryS"])
+        answered, sent = await requests(world, 8)
+        ready = [it.name for it in world.machines if it.role == "entry" and it.ready]
+        world.log(f"in rotation: {ready}")
+        if 4 * answered < sent:
+            world.add_violation("RECOVER", f"{answered} of {sent} requests were answered that were sent later than "
+                                           f"{world.bounds['recoveryS']} s after the processes were back")
         return world.violations
     finally:
         await world.close()
--- a/review/standins-2/small_deployment.py
+++ b/review/standins-2/small_deployment.py
@@ -37,6 +37,10 @@
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
 
+# The platform's names in settings, objects and calls, with placeholders.
+NAMES = json.loads((pathlib.Path(__file__).parent / "platform.json").read_text())
+
+
 class CannotRun(Exception):
     """The case could not be played, which says nothing about the rule."""
 
@@ -75,7 +79,7 @@
     async def answer(self, method, target, body):
         path, _, query = target.partition("?")
         parameters = dict(urllib.parse.parse_qsl(query))
-        kind, _, name = path.removeprefix("/kumquatvalve/objects/").partition("/")
+        kind, _, name = path.removeprefix(NAMES["objects_path"]).partition("/")
         if method != "GET" or name or "watch" in parameters:
             return await super().answer(method, target, body)
         items, size, more = [], 0, False
@@ -90,6 +94,15 @@
         return 200, {"items": items, "more": more, "at": self.revision}
 
 
+def fill_in(value, fields):
+    """Replaces the placeholders in all texts of a value."""
+    if isinstance(value, dict):
+        return {key: fill_in(it, fields) for key, it in value.items()}
+    if isinstance(value, list):
+        return [fill_in(it, fields) for it in value]
+    return value.format(**fields) if isinstance(value, str) else value
+
+
 class Machine:
     """A machine with one process of the system."""
 
@@ -180,14 +193,12 @@
 
     def settings_fields(self, machine):
         seeds = [f"{it.ip}:{self.control_port}" for it in self.machines if it.role == "entry"][:3]
-        return {"node": machine.name, "zone": machine.zone, "ip": machine.ip, "service": machine.service,
-                "listen": {"datagramAddr": f"{machine.ip}:{self.packet_port}",
-                           "ready": f"{machine.ip}:{self.ready_port}",
-                           "control": f"{machine.ip}:{self.control_port}",
-                           "outbound": f"{machine.ip}:{self.outbound_port}"},
-                "app": f"{machine.ip}:{self.app_port}", "internalPorts": [self.hop_port, self.hop_port],
-                "seeds": seeds, "bounds": self.bounds,
-                "platform": {"address": f"{self.store_ip}:{machine.store_port}"}}
+        fields = fill_in(NAMES["settings"], {
+            "name": machine.name, "zone": machine.zone, "ip": machine.ip, "service": machine.service,
+            "app": self.app_port, "packets": self.packet_port, "ready": self.ready_port, "hops": self.hop_port,
+            "control": self.control_port, "outbound": self.outbound_port,
+            "store": f"{self.store_ip}:{machine.store_port}"})
+        return fields | {"seeds": seeds, "bounds": self.bounds}
 
     def write_settings(self, machine):
         template = ROOT / self.deploy["roles"][machine.role]["template"]
@@ -303,10 +314,9 @@
     def publish(self):
         """Writes the desired state; the store's response is its confirmation."""
         self.version += 3
-        spec = {"version": self.version, "services": [], "limits": {"idleTimeoutMs": 15000},
-                "routes": [{"name": it.name, "host": it.address[0], "pathPrefix": f"/{it.address[1]}/",
-                            "type": it.kind, "timeoutMs": 3000, "targetLatencyMs": 200, "priority": 1,
-                            "service": it.service, "maxAttempts": 2} for it in self.routes]}
+        spec = {"version": self.version, "services": [], "limits": NAMES["limits"],
+                "routes": [fill_in(NAMES["route"], {"name": it.name, "ip": it.address[0], "port": it.address[1],
+                                                    "kind": it.kind, "service": it.service}) for it in self.routes]}
         self.store.put("config", "main", spec)
         self.log(f"operator: version {self.version} with {[it.name for it in self.routes]} is confirmed")
         return spec
@@ -341,11 +351,19 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+async def play_within_limit(play, folder):
+    """Ends the case, and with it all its processes, also after a signal."""
+    task = asyncio.current_task()
+    for it in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        asyncio.get_running_loop().add_signal_handler(it, task.cancel)
+    return await asyncio.wait_for(play(folder), TIME_LIMIT_S)
+
+
 def main(folder, play):
     """Runs `play(folder)`, which returns the violations of the rule; exits with 1, 0 or 2."""
     try:
-        violations = asyncio.run(asyncio.wait_for(play(folder), TIME_LIMIT_S))
-    except Exception as ex:  # Anything that went wrong here says nothing about the rule.
+        violations = asyncio.run(play_within_limit(play, folder))
+    except (Exception, asyncio.CancelledError) as ex:  # Anything that went wrong here says nothing about the rule.
         print(f"could not run: {ex!r}")
         sys.exit(NOT_RUN)
     for it in violations:
