Replace a figure of the platform that cannot be used instead of not starting

Cause: the settings schema has types and ranges of its own for the five figures that the platform fills in, and any difference was an error of the whole file. The error names key and line: "stop_timeout_s: must be an integer". A value below the minimum or an empty one ended the start as well.

Change: these five keys are adjustable. A fraction is used to the millisecond; a value out of range is replaced by the nearest in range, an empty one or one that is no number by the default, each with event 1009 (setting_adjusted).

--- a/packages/process/include/kumquatvalve/process/log_event.h
+++ b/packages/process/include/kumquatvalve/process/log_event.h
@@ -19,6 +19,7 @@
   kReloadRefused = 1006,
   kProcessPaused = 1007,
   kUnexpectedError = 1008,
+  kSettingAdjusted = 1009,
   kTablesPublished = 1101,
   kDrainTimedOut = 1102,
   kFlowDecided = 1201,
--- a/packages/process/src/log_event.cc
+++ b/packages/process/src/log_event.cc
@@ -20,6 +20,8 @@
       return "process_paused";
     case LogEvent::kUnexpectedError:
       return "unexpected_error";
+    case LogEvent::kSettingAdjusted:
+      return "setting_adjusted";
     case LogEvent::kTablesPublished:
       return "tables_published";
     case LogEvent::kDrainTimedOut:
--- a/packages/version/include/kumquatvalve/version/node_settings.h
+++ b/packages/version/include/kumquatvalve/version/node_settings.h
@@ -59,13 +59,16 @@
   std::optional<NodeUpstreamSettings> upstream;
   std::string log_level = "info";
   /// Maximum time between a termination signal and the exit of the process.
-  std::chrono::seconds stop_timeout{6};
+  std::chrono::milliseconds stop_timeout{6000};
   /// A configuration must be in force this long after the store accepted it;
   /// only for `Role::kEntry`.
   std::chrono::milliseconds configuration_apply_limit{3000};
   /// The evacuation of a zone must be in force this long after the store
   /// accepted it. Empty: evacuations are not followed. Only for `Role::kEntry`.
   std::optional<std::chrono::milliseconds> evacuation_apply_limit;
+  /// Values of the platform that could not be used as they are, and what is
+  /// used in their place.
+  std::vector<SettingsError> adjustments;
 };
 
 /// A setting that the environment gives in place of the file, for deployments
--- a/packages/version/include/kumquatvalve/version/settings_reader.h
+++ b/packages/version/include/kumquatvalve/version/settings_reader.h
@@ -77,6 +77,10 @@
   /// key.
   int LineNumber(std::string_view key) const;
 
+  /// Values of adjustable keys that were replaced, with the reason and the
+  /// value in use. They are no errors.
+  const std::vector<SettingsError>& adjustments() const { return adjustments_; }
+
  private:
   SettingsReader() = default;
 
@@ -85,6 +89,7 @@
   /// Values in the file, by full key; defaults are not included.
   std::map<std::string, YAML::Node, std::less<>> values_;
   std::span<const SettingSchema> schema_;
+  std::vector<SettingsError> adjustments_;
 };
 
 /// True for a text of the form that `SettingType::kName` describes.
--- a/packages/version/include/kumquatvalve/version/settings_schema.h
+++ b/packages/version/include/kumquatvalve/version/settings_schema.h
@@ -49,6 +49,13 @@
   double max_value = 0;
   /// Allowed values of a `kChoice`, separated by '|'.
   std::string_view choices;
+  /// The platform fills in this number, so no value of it is an error: one that
+  /// is out of range is replaced by the nearest in range, one that is empty or
+  /// cannot be read by `unreadable_text` or else the default. Each replacement
+  /// is reported (`SettingsReader::adjustments`).
+  bool adjustable = false;
+  /// Value in place of one that cannot be read, for a key without a default.
+  std::string_view unreadable_text;
   /// When not empty, the key is allowed, and `required` applies, only in files
   /// with this `role`.
   std::string_view only_for_role;
--- a/packages/version/src/node_settings.cc
+++ b/packages/version/src/node_settings.cc
@@ -10,8 +10,20 @@
 
 using Type = SettingType;
 
+using std::chrono::milliseconds;
+
 constexpr double kMillisecondsPerSecond = 1000;
 
+// Rounded down: each of these times is one within which something must be
+// done, or after which the address may belong to another upstream.
+milliseconds ToMilliseconds(double value) {
+  return milliseconds(static_cast<int64_t>(std::floor(value)));
+}
+
+milliseconds SecondsToMilliseconds(double value) {
+  return ToMilliseconds(value * kMillisecondsPerSecond);
+}
+
 constexpr auto kNodeSchema = std::to_array<SettingSchema>({
     {.key = "role",
      .type = Type::kChoice,
@@ -57,17 +69,20 @@
      .required = true,
      .doc = "Base address of the store."},
     {.key = "configuration_apply_ms",
-     .type = Type::kInteger,
+     .type = Type::kNumber,
      .default_text = "3000",
-     .min_value = 1000,
+     .min_value = 500,
      .max_value = 60000,
+     .adjustable = true,
      .only_for_role = "entry",
      .doc = "Time in which a configuration must be in force after the store "
             "accepted it, ms. Decides how often the store is asked."},
     {.key = "evacuation_apply_ms",
-     .type = Type::kInteger,
-     .min_value = 1000,
+     .type = Type::kNumber,
+     .min_value = 500,
      .max_value = 60000,
+     .adjustable = true,
+     .unreadable_text = "3000",
      .only_for_role = "entry",
      .doc =
          "Time in which the evacuation of an availability zone, and its end, "
@@ -98,6 +113,7 @@
      .default_text = "2",
      .min_value = 0,
      .max_value = 600,
+     .adjustable = true,
      .only_for_role = "sidecar",
      .doc = "Time between the end of an upstream and the next use of its "
             "address by another one, at least, s. An upstream that is silent "
@@ -107,6 +123,7 @@
      .type = Type::kNumber,
      .min_value = 0,
      .max_value = 10000,
+     .adjustable = true,
      .only_for_role = "sidecar",
      .doc = "First packets that a cold upstream may get in a second beyond "
             "those of its service's rate. Without it they are not limited."},
@@ -116,10 +133,11 @@
      .choices = "debug|info|warning|error",
      .doc = "Lowest level that is logged."},
     {.key = "stop_timeout_s",
-     .type = Type::kInteger,
+     .type = Type::kNumber,
      .default_text = "6",
-     .min_value = 1,
+     .min_value = 0,
      .max_value = 3600,
+     .adjustable = true,
      .doc = "Maximum time from a termination signal to the exit, s."},
 });
 
@@ -167,14 +185,15 @@
   settings.peers = reader->Endpoints("peers");
   settings.log_level = reader->Text("log_level");
   settings.stop_timeout =
-      std::chrono::seconds(reader->Integer("stop_timeout_s"));
+      SecondsToMilliseconds(reader->Number("stop_timeout_s"));
+  settings.adjustments = reader->adjustments();
   if (settings.role == Role::kEntry) {
     settings.hops = reader->Endpoint("hops");
     settings.configuration_apply_limit =
-        std::chrono::milliseconds(reader->Integer("configuration_apply_ms"));
+        ToMilliseconds(reader->Number("configuration_apply_ms"));
     if (reader->Has("evacuation_apply_ms")) {
       settings.evacuation_apply_limit =
-          std::chrono::milliseconds(reader->Integer("evacuation_apply_ms"));
+          ToMilliseconds(reader->Number("evacuation_apply_ms"));
     }
     if (reader->Has("peer_listen")) {
       settings.peer_listen = reader->Endpoint("peer_listen");
@@ -186,8 +205,8 @@
   upstream.outbound = reader->Endpoint("upstream.outbound");
   upstream.announce = reader->Endpoint("upstream.announce");
   upstream.service = request::ServiceName(reader->Text("upstream.service"));
-  upstream.address_reuse = std::chrono::milliseconds(std::lround(
-      reader->Number("upstream.address_reuse_s") * kMillisecondsPerSecond));
+  upstream.address_reuse =
+      SecondsToMilliseconds(reader->Number("upstream.address_reuse_s"));
   if (reader->Has("upstream.warm_up.slack")) {
     upstream.warm_up_slack = reader->Number("upstream.warm_up.slack");
   }
--- a/packages/version/src/settings_reader.cc
+++ b/packages/version/src/settings_reader.cc
@@ -2,6 +2,7 @@
 
 #include <yaml-cpp/eventhandler.h>
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <fstream>
@@ -204,6 +205,10 @@
     return std::move(values_);
   }
 
+  std::vector<SettingsError> TakeAdjustments() {
+    return std::move(adjustments_);
+  }
+
  private:
   void AddError(ResultCode code, int line, const std::string& key,
                 std::string detail) {
@@ -230,6 +235,10 @@
 
   void CheckEntry(const SettingSchema& schema, const YAML::Node& node,
                   const std::string& key) {
+    if (schema.adjustable) {
+      AdjustNumber(schema, node, key);
+      return;
+    }
     const size_t before = errors_->size();
     if (schema.type == SettingType::kLabels ||
         schema.type == SettingType::kWeights) {
@@ -244,6 +253,44 @@
     }
   }
 
+  // Keeps a number that is in range, and replaces any other value.
+  void AdjustNumber(const SettingSchema& schema, const YAML::Node& node,
+                    const std::string& key) {
+    const bool empty = node.IsNull();
+    const auto value =
+        IsPlainScalar(node) ? ParseNumber(node.Scalar()) : std::nullopt;
+    if (value && *value >= schema.min_value && *value <= schema.max_value) {
+      values_[key] = node;
+      return;
+    }
+    std::ostringstream used;
+    used.precision(15);
+    if (value) {
+      used << std::clamp(*value, schema.min_value, schema.max_value);
+    } else {
+      used << (empty || schema.unreadable_text.empty()
+                   ? schema.default_text
+                   : schema.unreadable_text);
+    }
+    if (!used.str().empty()) {
+      values_[key] = YAML::Node(used.str());
+    }
+    if (empty && used.str().empty()) {
+      return;
+    }
+    const std::string in_use =
+        used.str().empty() ? "counts as absent" : used.str() + " is used";
+    const ResultCode code = value   ? ResultCode::kOutOfRange
+                            : empty ? ResultCode::kMissingKey
+                                    : ResultCode::kWrongType;
+    const std::string problem =
+        value   ? node.Scalar() + " is not in the range " + RangeText(schema)
+        : empty ? "has no value"
+                : "must be a number";
+    adjustments_.push_back({code, file_, LineNumberOf(node), prefix_ + key,
+                            problem + "; " + in_use});
+  }
+
   void CheckList(const SettingSchema& schema, const YAML::Node& node,
                  const std::string& key) {
     if (!node.IsSequence()) {
@@ -420,6 +467,7 @@
   std::vector<SettingsError>* errors_;
   std::map<std::string, YAML::Node, std::less<>> values_;
   std::map<std::string, int, std::less<>> lines_;
+  std::vector<SettingsError> adjustments_;
 };
 
 // Reports invalid combinations of keys of a process.
@@ -552,6 +600,7 @@
   SettingsReader reader;
   reader.schema_ = schema;
   reader.values_ = schema_checker.TakeValues();
+  reader.adjustments_ = schema_checker.TakeAdjustments();
   return reader;
 }
 
