Sidecar: report a known flow as held whatever service the query names

Cause: UpstreamGate replied "not held" to each query that names another service than its own, and sent an empty list, also for flows that it has. The service comes from the record of the entry instance that asks. All sidecars had replied then, and the flow was taken for lost.

Change: a known flow is reported as held and listed whatever the query names; unknown ones are denied as before. First packets for another service are still returned, so nothing runs at another service.

Why that is enough: an entry instance asks all sidecars before it takes a flow for lost, and forwards with the service that the holder's reply names.

--- a/packages/connection/include/kumquatvalve/connection/upstream_gate.h
+++ b/packages/connection/include/kumquatvalve/connection/upstream_gate.h
@@ -768,17 +768,16 @@
     sink_->Deliver(packet.bytes);
   }
 
-  // Replies to a query whether the upstream holds a flow.
+  // Replies to a query whether the upstream holds a flow. A known flow counts
+  // whatever service the query names: the record that the entry instance has
+  // may be outdated or of another writer.
   void OnLocate(const request::Endpoint& entry,
                 const request::HopMessage& message) {
-    if (message.service != tag_) {
-      SendLocateReply(entry, request::HopKind::kNotHeld, message.flow);
-      return;
-    }
     const auto it = flows_.find(message.flow);
     if (it == flows_.end() || it->second.probed_by) {
       SendLocateReply(entry,
-                      SawAllFlows() || not_held_.contains(message.flow)
+                      message.service != tag_ || SawAllFlows() ||
+                              not_held_.contains(message.flow)
                           ? request::HopKind::kNotHeld
                           : request::HopKind::kInconclusive,
                       message.flow);
@@ -798,10 +797,8 @@
   void SendFlowList(const request::Endpoint& entry,
                     const request::HopMessage& query) {
     std::vector<uint32_t> fingerprints;
-    if (query.service == tag_) {
-      for (const auto& [key, flow] : flows_) {
-        fingerprints.push_back(request::FlowFingerprint(key));
-      }
+    for (const auto& [key, flow] : flows_) {
+      fingerprints.push_back(request::FlowFingerprint(key));
     }
     request::HopMessage reply;
     reply.kind = request::HopKind::kFlows;
