Ask the peers before the first configuration of a new era is taken

Cause: a restored version is held back only by an instance that has a newer one in force; one that starts has none. Its peers know it, but were asked only while the store does not respond.

Without peers, or when none replies, it is taken. No call to the store is added.

--- a/packages/process/include/kumquatvalve/process/entry_knowledge.h
+++ b/packages/process/include/kumquatvalve/process/entry_knowledge.h
@@ -62,19 +62,28 @@
     /// A configuration or a record of a new era of the store is held back; the
     /// reason has been logged. May be empty.
     std::function<void()> held_back;
+    /// The store's first configuration may be one restored from a copy, so the
+    /// other entry instances have to be asked for theirs: `OnPeersAsked` has to
+    /// be called when all have been. Called once; empty when there are none.
+    std::function<void()> ask_peers;
   };
 
   /// `logger` must outlive the object.
   EntryKnowledge(Codec codec, Outputs outputs, const Logger* logger);
 
-  /// Applies a configuration that the store or a peer returned. One that is not
-  /// newer than the current one is ignored; an unreadable one is logged and the
+  /// Applies a configuration that the store returned. One that is not newer
+  /// than the current one is ignored; an unreadable one is logged and the
   /// current one stays in force. One that the store may have restored from a
-  /// copy is held back, see `connection::EraHold`.
+  /// copy is held back, see `connection::EraHold`; when it is the first one,
+  /// until the other entry instances were asked.
   /// @return whether the routes in force are at least as new as the object; for
   ///   one that is held back by the operator's version.
   bool OnConfiguration(const StoredObject& object, TimePoint now);
 
+  /// The other entry instances were asked for their configuration, and
+  /// `OnPeerSnapshot` was called with what they replied.
+  void OnPeersAsked(TimePoint now);
+
   /// Replaces the records with a full list from the store. Records that cannot
   /// be read, or that are stored under another sidecar's path, are logged once
   /// for each of their versions and left out.
@@ -101,6 +110,8 @@
   /// records that the store may have lost a moment ago.
   PeerSnapshot Snapshot(TimePoint now) const;
 
+  /// Whether a configuration is in force.
+  bool HasConfiguration() const;
   /// Whether both a configuration and a list of upstreams have been received.
   bool IsComplete() const;
 
@@ -123,6 +134,9 @@
   // Decodes a record that has to be stored at its sidecar's path.
   std::optional<version::UpstreamRecord> ReadRecordAt(
       const StoredObject& object, request::Failure* failure) const;
+  // Applies or holds back a configuration of the store or a peer, as
+  // `OnConfiguration` does; `mutex_` must be locked.
+  bool TakeConfiguration(const StoredObject& object, TimePoint now);
   // Puts a configuration in force; `mutex_` must be locked.
   void ApplyConfiguration(const StoredObject& object, version::RouteMap map);
   void LogHeldBack(std::string_view message, const std::string& what) const;
@@ -139,6 +153,9 @@
   uint64_t operator_version_ = 0;
   connection::EraHold era_hold_;
   std::optional<StoredObject> held_configuration_;
+  /// The store's configuration until the peers were asked.
+  std::optional<StoredObject> first_configuration_;
+  bool peers_asked_ = false;
   /// The store or a peer has returned a list of upstream records.
   bool records_known_ = false;
   TimePoint complete_at_;
--- a/packages/process/src/entry_knowledge.cc
+++ b/packages/process/src/entry_knowledge.cc
@@ -11,6 +11,26 @@
 bool EntryKnowledge::OnConfiguration(const StoredObject& object,
                                      TimePoint now) {
   const std::lock_guard lock(mutex_);
+  const bool may_be_restored = object.version.era != 0 && !configuration_;
+  if (may_be_restored && !peers_asked_ && outputs_.ask_peers) {
+    if (!std::exchange(first_configuration_, object)) {
+      outputs_.ask_peers();
+    }
+    return false;
+  }
+  return TakeConfiguration(object, now);
+}
+
+void EntryKnowledge::OnPeersAsked(TimePoint now) {
+  const std::lock_guard lock(mutex_);
+  peers_asked_ = true;
+  if (const auto object = std::exchange(first_configuration_, std::nullopt)) {
+    TakeConfiguration(*object, now);
+  }
+}
+
+bool EntryKnowledge::TakeConfiguration(const StoredObject& object,
+                                       TimePoint now) {
   if ((configuration_ && object.version <= configuration_->version) ||
       (held_configuration_ && object.version <= held_configuration_->version)) {
     return true;
@@ -130,13 +150,13 @@
 
 void EntryKnowledge::OnPeerSnapshot(const PeerSnapshot& snapshot,
                                     TimePoint now) {
+  const std::lock_guard lock(mutex_);
   if (snapshot.configuration) {
-    OnConfiguration(*snapshot.configuration, now);
+    TakeConfiguration(*snapshot.configuration, now);
   }
   for (const request::Failure& it : snapshot.skipped) {
     LogUnreadable("cannot read an object of a peer", "", it);
   }
-  const std::lock_guard lock(mutex_);
   bool changed = !records_known_ && !snapshot.records.empty();
   for (const StoredObject& it : snapshot.records) {
     request::Failure failure;
@@ -171,6 +191,11 @@
   return snapshot;
 }
 
+bool EntryKnowledge::HasConfiguration() const {
+  const std::lock_guard lock(mutex_);
+  return configuration_.has_value();
+}
+
 bool EntryKnowledge::IsComplete() const {
   const std::lock_guard lock(mutex_);
   return configuration_ && records_known_;
--- a/packages/process/test/entry_knowledge_test.cc
+++ b/packages/process/test/entry_knowledge_test.cc
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace kumquatvalve::process {
@@ -74,22 +76,82 @@
 }
 
 struct Fixture {
+  explicit Fixture(std::function<void()> ask_peers = {})
+      : knowledge(TestCodec(), TestOutputs(std::move(ask_peers)), &logger) {}
+
+  EntryKnowledge::Outputs TestOutputs(std::function<void()> ask_peers) {
+    return {.routes = [this](auto map) { versions.push_back(map->version); },
+            .upstreams = [this](auto records,
+                                auto) { upstreams.push_back(records); },
+            .unreadable = [this] { ++unreadable; },
+            .held_back = [this] { ++held_back; },
+            .ask_peers = std::move(ask_peers)};
+  }
+
   std::vector<uint64_t> versions;
   std::vector<std::vector<version::UpstreamRecord>> upstreams;
   int unreadable = 0;
   int held_back = 0;
   Logger logger{"test", LogFormat::kJson, LogLevel::kError};
   EntryKnowledge::TimePoint now = kNow;
-  EntryKnowledge knowledge{
-      TestCodec(),
-      {.routes = [this](auto map) { versions.push_back(map->version); },
-       .upstreams = [this](auto records,
-                           auto) { upstreams.push_back(records); },
-       .unreadable = [this] { ++unreadable; },
-       .held_back = [this] { ++held_back; }},
-      &logger};
+  EntryKnowledge knowledge;
+};
+
+// An instance that can ask peers.
+struct AskingFixture : Fixture {
+  AskingFixture() : Fixture([this] { ++asked; }) {}
+
+  int asked = 0;
 };
 
+// An entry instance that started after the store had come back from a copy took
+// the restored version: it reset flows on a route of the lost one, which the
+// other instances had in force.
+TEST_CASE(
+    "entry_knowledge: a first configuration of a new era waits for the peers") {
+  Fixture established;
+  established.knowledge.OnConfiguration({"config/main", {7}, "6"}, kNow);
+  const StoredObject restored{"config/main", {5, 1}, "3"};
+  established.knowledge.OnConfiguration(restored, kNow);
+  CHECK(established.versions == std::vector<uint64_t>{6});
+
+  AskingFixture started;
+  CHECK_FALSE(started.knowledge.OnConfiguration(restored, kNow));
+  CHECK_FALSE(started.knowledge.OnConfiguration(restored, kNow));
+  CHECK(started.asked == 1);
+  CHECK(started.versions.empty());
+  started.knowledge.OnPeerSnapshot(established.knowledge.Snapshot(kNow), kNow);
+  started.knowledge.OnPeersAsked(kNow);
+  CHECK(started.versions == std::vector<uint64_t>{6});
+  CHECK(started.held_back == 1);
+  // The operator writes the lost version again.
+  started.knowledge.OnConfiguration({"config/main", {9, 1}, "6"}, kNow);
+  CHECK(started.versions == std::vector<uint64_t>{6, 6});
+}
+
+TEST_CASE(
+    "entry_knowledge: a first configuration is taken when no peer has a newer "
+    "one") {
+  AskingFixture alone;
+  CHECK_FALSE(alone.knowledge.OnConfiguration({"c", {5, 1}, "3"}, kNow));
+  alone.knowledge.OnPeersAsked(kNow);
+  CHECK(alone.versions == std::vector<uint64_t>{3});
+  CHECK(alone.held_back == 0);
+
+  Fixture behind;
+  behind.knowledge.OnConfiguration({"c", {4}, "2"}, kNow);
+  AskingFixture started;
+  started.knowledge.OnConfiguration({"c", {5, 1}, "3"}, kNow);
+  started.knowledge.OnPeerSnapshot(behind.knowledge.Snapshot(kNow), kNow);
+  started.knowledge.OnPeersAsked(kNow);
+  CHECK(started.versions.back() == 3);
+
+  // Before the first drill of the store there is nothing to ask for.
+  AskingFixture first_era;
+  CHECK(first_era.knowledge.OnConfiguration({"c", {5}, "3"}, kNow));
+  CHECK(first_era.asked == 0);
+}
+
 // An entry instance that restarted while the store was unavailable could not
 // route packets until the store was back.
 TEST_CASE(
