Grant a contested lease by two heartbeats only when the other start is silent

Cause: two own heartbeats granted a contested lease when both came 0.3 s or more after the last one of the other start. That start was alive and sent one every 1.2 s. docs/decisions/005 listed this under "What remains".

Change: the second own heartbeat counts only when the other start has been silent for the duration of the lease, which a live one is not. Packets of admitted flows, and the third own heartbeat in spite of the other's, grant it as before.

--- a/packages/connection/include/kumquatvalve/connection/address_lease.h
+++ b/packages/connection/include/kumquatvalve/connection/address_lease.h
@@ -72,10 +72,11 @@
 ///
 /// A heartbeat of another service withdraws the lease. It may be a late one or
 /// of another writer, so the lease is granted again by signs that came later:
-/// two heartbeats of the upstream, or one and a packet of a flow that was
-/// admitted here. Once `kMessagesToDismiss` heartbeats of the upstream have
-/// arrived since, those of the other start have no effect while the lease is
-/// held, until as many arrive without one of the upstream. Not thread-safe.
+/// two heartbeats of the upstream, once the other start has been silent for the
+/// duration of the lease, or one and a packet of a flow that was admitted here.
+/// Once `kMessagesToDismiss` heartbeats of the upstream have arrived since,
+/// those of the other start have no effect while the lease is held, until as
+/// many arrive without one of the upstream. Not thread-safe.
 class AddressLease {
  public:
   explicit AddressLease(std::chrono::milliseconds duration)
--- a/packages/connection/src/address_lease.cc
+++ b/packages/connection/src/address_lease.cc
@@ -67,9 +67,14 @@
   const bool is_first_of_start =
       !contested_ && heartbeat.sequence <= LatestStart::kMaxMissedMessages &&
       proven_start_ != heartbeat.start;
+  // Two late heartbeats may arrive between two of the other service. Only its
+  // silence shows that it is not the one behind the address.
+  const bool other_is_silent =
+      !contested_ || sent_after - contender_->last_message_at >= duration_;
   const bool is_second =
       unconfirmed_ && unconfirmed_->start == heartbeat.start &&
-      sent_after - unconfirmed_->sent_after >= kMinMessageSpacing;
+      sent_after - unconfirmed_->sent_after >= kMinMessageSpacing &&
+      other_is_silent;
   const auto& packet_at =
       contested_ ? admitted_flow_packet_at_ : flow_packet_at_;
   const bool holds_flows = packet_at && sent_after - *packet_at < duration_ &&
--- a/packages/connection/test/address_lease_test.cc
+++ b/packages/connection/test/address_lease_test.cc
@@ -175,6 +175,48 @@
   CHECK(f.State() == LeaseState::kContested);
 }
 
+// Guards against requests that the next upstream runs: the last two heartbeats
+// of the one that crashed arrive one shortly after the other, between two of
+// the next one.
+TEST_CASE(
+    "address_lease: two late heartbeats of the earlier upstream grant no lease "
+    "while the next one sends heartbeats") {
+  Fixture f;
+  f.Heartbeat();
+  f.Advance(milliseconds(2500));
+  for (uint64_t sequence = 1; sequence <= 2; ++sequence) {
+    f.OtherService(sequence);
+    f.Advance(kInterval);
+  }
+  f.OtherService(3);
+  for (const int delay : {350, 400, 350}) {
+    f.Advance(milliseconds(delay));
+    f.Packet();
+    f.Packet(PacketEvidence::kHoldsFlow);
+    if (delay != 400) {
+      f.Heartbeat();
+    }
+    CHECK(f.State() == LeaseState::kContested);
+  }
+}
+
+// The same, but the other start was of another writer and is silent.
+TEST_CASE(
+    "address_lease: two heartbeats grant the lease once another service has "
+    "been silent for its duration") {
+  Fixture f;
+  f.Heartbeat();
+  f.OtherService(1);
+  f.Advance(milliseconds(400));
+  f.Heartbeat();
+  f.Advance(kDuration - milliseconds(401));
+  f.Heartbeat();
+  CHECK(f.State() == LeaseState::kContested);
+  f.Advance(milliseconds(1));
+  f.Heartbeat();
+  CHECK(f.State() == LeaseState::kHeld);
+}
+
 TEST_CASE(
     "address_lease: one late heartbeat grants no lease to a process that has "
     "just started") {
