--- a/packages/version/src/settings_reader.cc
+++ b/packages/version/src/settings_reader.cc
@@ -256,39 +256,38 @@
   // Keeps a number that is in range, and replaces any other value.
   void AdjustNumber(const SettingSchema& schema, const YAML::Node& node,
                     const std::string& key) {
-    const bool empty = node.IsNull();
     const auto value =
         IsPlainScalar(node) ? ParseNumber(node.Scalar()) : std::nullopt;
     if (value && *value >= schema.min_value && *value <= schema.max_value) {
       values_[key] = node;
-      return;
+    } else if (value) {
+      UseInstead(
+          NumberText(std::clamp(*value, schema.min_value, schema.max_value)),
+          {ResultCode::kOutOfRange, file_, LineNumberOf(node), prefix_ + key,
+           node.Scalar() + " is not in the range " + RangeText(schema)});
+    } else if (!node.IsNull()) {
+      UseInstead(
+          std::string(schema.unreadable_text.empty() ? schema.default_text
+                                                     : schema.unreadable_text),
+          {ResultCode::kWrongType, file_, LineNumberOf(node), prefix_ + key,
+           "must be a number"});
+    } else if (!schema.default_text.empty()) {
+      UseInstead(std::string(schema.default_text),
+                 {ResultCode::kMissingKey, file_, LineNumberOf(node),
+                  prefix_ + key, "has no value"});
     }
-    std::ostringstream used;
-    used.precision(15);
-    if (value) {
-      used << std::clamp(*value, schema.min_value, schema.max_value);
+  }
+
+  // Sets the value of the adjustable key that `adjustment` names; the key
+  // counts as absent when `text` is empty.
+  void UseInstead(const std::string& text, SettingsError adjustment) {
+    if (text.empty()) {
+      adjustment.detail += "; it counts as absent";
     } else {
-      used << (empty || schema.unreadable_text.empty()
-                   ? schema.default_text
-                   : schema.unreadable_text);
-    }
-    if (!used.str().empty()) {
-      values_[key] = YAML::Node(used.str());
-    }
-    if (empty && used.str().empty()) {
-      return;
+      adjustment.detail += "; " + text + " is used";
+      values_[adjustment.key.substr(prefix_.size())] = YAML::Node(text);
     }
-    const std::string in_use =
-        used.str().empty() ? "counts as absent" : used.str() + " is used";
-    const ResultCode code = value   ? ResultCode::kOutOfRange
-                            : empty ? ResultCode::kMissingKey
-                                    : ResultCode::kWrongType;
-    const std::string problem =
-        value   ? node.Scalar() + " is not in the range " + RangeText(schema)
-        : empty ? "has no value"
-                : "must be a number";
-    adjustments_.push_back({code, file_, LineNumberOf(node), prefix_ + key,
-                            problem + "; " + in_use});
+    adjustments_.push_back(std::move(adjustment));
   }
 
   void CheckList(const SettingSchema& schema, const YAML::Node& node,
@@ -454,13 +453,17 @@
     }
   }
 
-  static std::string RangeText(const SettingSchema& schema) {
+  static std::string NumberText(double value) {
     std::ostringstream text;
     text.precision(15);
-    text << schema.min_value << " to " << schema.max_value;
+    text << value;
     return text.str();
   }
 
+  static std::string RangeText(const SettingSchema& schema) {
+    return NumberText(schema.min_value) + " to " + NumberText(schema.max_value);
+  }
+
   std::span<const SettingSchema> schema_;
   const std::string& file_;
   const std::string& prefix_;
