Limit the time for which a first configuration waits for the peers

A settings file may name 100 peers, and a query that ended by an exception would have left the instance without a configuration.

Change: after 2 s the store's configuration is taken; three peers that do not reply take less.

--- a/packages/process/include/kumquatvalve/process/entry_knowledge.h
+++ b/packages/process/include/kumquatvalve/process/entry_knowledge.h
@@ -84,6 +84,10 @@
   /// `OnPeerSnapshot` was called with what they replied.
   void OnPeersAsked(TimePoint now);
 
+  /// The longest time for which the first configuration waits for the peers:
+  /// three that do not reply take less.
+  static constexpr std::chrono::milliseconds kMaxPeerWait{2000};
+
   /// Replaces the records with a full list from the store. Records that cannot
   /// be read, or that are stored under another sidecar's path, are logged once
   /// for each of their versions and left out.
@@ -91,8 +95,9 @@
   void OnStoredRecords(const std::map<std::string, StoredObject>& objects,
                        TimePoint complete_at, TimePoint now, uint64_t era = 0);
 
-  /// Puts in force what was held back for `connection::kMaxEraHold`; has to be
-  /// called every `connection::kEraHoldCheckInterval`.
+  /// Puts in force what was held back for `connection::kMaxEraHold`, or what
+  /// has waited for peers that do not reply; has to be called every
+  /// `connection::kEraHoldCheckInterval`.
   void OnTick(TimePoint now);
 
   /// Adds a record that a sidecar announced because it cannot write it to the
@@ -134,6 +139,9 @@
   // Decodes a record that has to be stored at its sidecar's path.
   std::optional<version::UpstreamRecord> ReadRecordAt(
       const StoredObject& object, request::Failure* failure) const;
+  // Takes the store's first configuration, if there is one that waits; `mutex_`
+  // must be locked.
+  void EndPeerWait(TimePoint now);
   // Applies or holds back a configuration of the store or a peer, as
   // `OnConfiguration` does; `mutex_` must be locked.
   bool TakeConfiguration(const StoredObject& object, TimePoint now);
@@ -155,6 +163,7 @@
   std::optional<StoredObject> held_configuration_;
   /// The store's configuration until the peers were asked.
   std::optional<StoredObject> first_configuration_;
+  TimePoint first_received_at_;
   bool peers_asked_ = false;
   /// The store or a peer has returned a list of upstream records.
   bool records_known_ = false;
--- a/packages/process/src/entry_knowledge.cc
+++ b/packages/process/src/entry_knowledge.cc
@@ -14,6 +14,7 @@
   const bool may_be_restored = object.version.era != 0 && !configuration_;
   if (may_be_restored && !peers_asked_ && outputs_.ask_peers) {
     if (!std::exchange(first_configuration_, object)) {
+      first_received_at_ = now;
       outputs_.ask_peers();
     }
     return false;
@@ -23,6 +24,10 @@
 
 void EntryKnowledge::OnPeersAsked(TimePoint now) {
   const std::lock_guard lock(mutex_);
+  EndPeerWait(now);
+}
+
+void EntryKnowledge::EndPeerWait(TimePoint now) {
   peers_asked_ = true;
   if (const auto object = std::exchange(first_configuration_, std::nullopt)) {
     TakeConfiguration(*object, now);
@@ -76,6 +81,9 @@
 
 void EntryKnowledge::OnTick(TimePoint now) {
   const std::lock_guard lock(mutex_);
+  if (first_configuration_ && now - first_received_at_ >= kMaxPeerWait) {
+    EndPeerWait(now);
+  }
   if (held_configuration_ && era_hold_.IsOver(now)) {
     const StoredObject object = *held_configuration_;
     std::string skipped;
--- a/packages/process/test/entry_knowledge_test.cc
+++ b/packages/process/test/entry_knowledge_test.cc
@@ -152,6 +152,19 @@
   CHECK(first_era.asked == 0);
 }
 
+// Guards against an instance that is never ready: peers that do not reply, or a
+// query that ends without a result.
+TEST_CASE("entry_knowledge: a first configuration waits for a limited time") {
+  AskingFixture f;
+  f.knowledge.OnConfiguration({"c", {5, 1}, "3"}, kNow);
+  f.knowledge.OnTick(kNow + EntryKnowledge::kMaxPeerWait - milliseconds(1));
+  CHECK(f.versions.empty());
+  f.knowledge.OnTick(kNow + EntryKnowledge::kMaxPeerWait);
+  CHECK(f.versions == std::vector<uint64_t>{3});
+  f.knowledge.OnPeersAsked(kNow + EntryKnowledge::kMaxPeerWait);
+  CHECK(f.versions.size() == 1);
+}
+
 // An entry instance that restarted while the store was unavailable could not
 // route packets until the store was back.
 TEST_CASE(
