--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -85,6 +85,7 @@
 
 class World:
     def __init__(self):
+        self.bounds, self.heartbeat_s, self.service_fields = dict(BOUNDS), HEARTBEAT_S, {}
         self.random = random.Random()
         self.net = f"127.{self.random.randrange(20, 250)}.{self.random.randrange(1, 250)}"
         ports = self.random.sample(range(20000, 30000), 7)
@@ -121,7 +122,7 @@
         return {"node": node.name, "role": node.role, "machineClass": "front" if front else "side",
                 "serves": self.deploy["roles"][node.role]["serves"], "ip": node.ip, "zone": node.zone, "region": "r",
                 "listen": listen, "internalPorts": [self.hop_port, self.hop_port + 15],
-                "seeds": list(node.seeds), "heartbeatIntervalMs": int(HEARTBEAT_S * 1000), "bounds": BOUNDS,
+                "seeds": list(node.seeds), "heartbeatIntervalMs": int(self.heartbeat_s * 1000), "bounds": self.bounds,
                 "hash": "mod", "deploymentMode": "agent", "service": node.service,
                 "app": f"{node.ip}:{self.app_port}",
                 "platform": {"address": f"{self.net}.250:{node.store_port}", "deploymentMode": "objects",
@@ -192,7 +193,7 @@
         process = node.process
         self.record(f"{node.name} gets SIGTERM")
         process.send_signal(signal.SIGTERM)
-        end = time.monotonic() + BOUNDS["graceS"]
+        end = time.monotonic() + self.bounds["graceS"]
         while process.poll() is None and time.monotonic() < end:
             await asyncio.sleep(0.02)
         if process.poll() is None:
@@ -201,7 +202,7 @@
     def put_config(self, routes):
         self.version += 3
         self.store.put("config", "main", {
-            "version": self.version, "services": [{"name": it} for it in sorted({r[2] for r in routes})],
+            "version": self.version, "services": [{"name": it} | self.service_fields for it in sorted({r[2] for r in routes})],
             "limits": {"idleTimeoutMs": 12000},
             "routes": [{"name": f"r-{host}", "host": host, "pathPrefix": f"/{port}/", "type": "safe",
                         "timeoutMs": 3000, "targetLatencyMs": 200, "priority": 1, "service": service}
@@ -218,7 +219,8 @@
     async def close(self):
         for it in self.tasks:
             it.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        if self.tasks:
+            await asyncio.wait(self.tasks, timeout=2)
         for it in self.processes:
             if it.poll() is None:
                 it.send_signal(signal.SIGCONT)
@@ -243,7 +245,7 @@
         self.name = name or f"i-{self.born:x}-{node.name}"
         self.flows, self.ended, self.sequence, self.state = {}, set(), 0, "ready"
         self.alive, self.confirmed, self.packets = True, 0, 0
-        self.drain_confirmed_at = None
+        self.drain_confirmed_at, self.cold_until, self.first_packets = None, 0, []
 
     async def start(self):
         self.transport = await open_udp((self.node.ip, self.world.app_port), self.receive)
@@ -253,12 +255,18 @@
     async def beat(self):
         while self.alive:
             await self.report()
-            await asyncio.sleep(HEARTBEAT_S)
+            await asyncio.sleep(self.world.heartbeat_s)
 
     def body(self):
         return {"service": self.node.service, "address": f"{self.node.ip}:{self.world.app_port}",
                 "zone": self.node.zone, "version": "v1", "slots": self.slots, "state": self.state,
-                "warmupLeftMs": 0, "seq": self.sequence, "born": self.born}
+                "warmupLeftMs": self.warm_up_left_ms(), "seq": self.sequence, "born": self.born}
+
+    def status_line(self):
+        return "200 OK"
+
+    def warm_up_left_ms(self):
+        return max(0, round(1000 * (self.cold_until - time.monotonic())))
 
     async def report(self):
         self.sequence += 1
@@ -312,6 +320,8 @@
         self.packets += 1
         key = (packet.src, packet.sport)
         if packet.flags & SYN:
+            if key not in self.flows:
+                self.first_packets.append((time.monotonic(), packet.sport))
             self.flows.setdefault(key, {"isn": random.getrandbits(31), "next": packet.seq + 1, "sent": 0,
                                         "open": False, "runs": {}})
             flow = self.flows[key]
@@ -348,12 +358,13 @@
 
     async def run(self, packet, key, flow):
         request = re.search(rb"Kumquatvalve-Request-Id: (\S+)", packet.data)[1].decode()
-        self.world.record(f"{self.name} runs {request}")
+        status = self.status_line()
+        self.world.record(f"{self.name} runs {request}: {status}")
         await asyncio.sleep(self.work_s)
         if not self.alive or key not in self.flows:
             return
         body = f"{request} by {self.name}".encode()
-        answer = (f"HTTP/1.1 200 OK\r\nKumquatvalve-Server-Stamp: {self.name}\r\nContent-Length: {len(body)}\r\n\r\n"
+        answer = (f"HTTP/1.1 {status}\r\nKumquatvalve-Server-Stamp: {self.name}\r\nContent-Length: {len(body)}\r\n\r\n"
                   .encode() + body)
         flow["runs"][packet.seq] = self.reply(packet, ACK, flow["isn"] + 1 + flow["sent"], flow["next"], answer)
         flow["sent"] += len(answer)
@@ -438,6 +449,9 @@
                     if f"\r\n\r\n{name} by ".encode() not in packet.data:
                         self.world.add_break(f"MIXED {name} got {packet.data!r}")
                     self.server = packet.data.rsplit(b" by ", 1)[1].decode()
+                    if not packet.data.startswith(b"HTTP/1.1 200"):
+                        self.world.record(f"client gets a failure for {name} from {self.server}")
+                        return "failed"
                     self.answered += 1
                     self.world.record(f"client gets the answer to {name} from {self.server}")
                     return "answered"
@@ -447,7 +461,7 @@
 
 
 def run_case(play, folder):
-    """Plays a case; returns the exit status: 1 broken, 0 held, 2 could not run."""
+    """Plays a case and exits: status 1 broken, 0 held, 2 could not run."""
     async def main():
         world = World()
         trouble = os.environ.get("TROUBLE", "1") != "0"
@@ -464,4 +478,7 @@
             (pathlib.Path(folder) / "record.txt").write_text("\n".join(world.log) + "\n")
             print(world.log[-1].strip(), *world.broken[:5], sep="\n")
         return status
-    return asyncio.run(main())
+    status = asyncio.new_event_loop().run_until_complete(main())
+    sys.stdout.flush()
+    # A task that missed its cancellation must not keep the process.
+    os._exit(status)
