--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -31,6 +31,7 @@
           "recoveryS": 12, "reorderMs": 2000, "maxFlowS": 60}
 HEARTBEAT_S = 1.2
 RESTART_DELAY_S = 0.5
+RESET_RANGE = 76800
 TIME_LIMIT_S = 100
 SYN_WAITS = (0.2, 0.4, 0.8)
 
@@ -440,8 +441,10 @@
                 if packet is None:
                     break
                 if packet.flags & RST:
-                    own = "the server's" if packet.flags & ACK else "a"
-                    self.world.record(f"client gets {own} reset on flow {self.port} for {name}")
+                    # Only a number near the last acknowledgment resets an open flow.
+                    if (packet.seq - self.ack + RESET_RANGE) % 2**32 > 2 * RESET_RANGE:
+                        continue
+                    self.world.record(f"client gets a reset on flow {self.port} for {name}")
                     return "reset"
                 if packet.data and packet.seq == self.ack % 2**32:
                     self.seq += len(data)
