--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -305,7 +305,7 @@
         self.stop()
 
     def stop(self):
-        self.alive = False
+        self.alive, self.stopped_at = False, time.monotonic()
         self.beats.cancel()
         self.transport.close()
         self.world.record(f"{self.name} has ended")
