--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -26,6 +26,8 @@
 
 from soak_world import ACK, FIN, RETURNED, RST, SYN, Packet, Store, decode, ip_number, open_udp  # noqa: E402
 
+# The platform's names for fields and calls.
+NAMES = json.loads(pathlib.Path(__file__).with_name("platform.json").read_text())
 BOUNDS = {"seedLagS": 3, "addrReuseS": 2, "stabilityWindowMs": 4000, "ackMs": 5000, "syncS": 4, "drainMs": 3000,
           "graceS": 6, "lossSlackMs": 200, "configApplyMs": 3000, "downgradeMs": 250, "maxStretchMs": 12000,
           "recoveryS": 12, "reorderMs": 2000, "maxFlowS": 60}
@@ -116,13 +118,13 @@
 
     def fields(self, node):
         front = node.role == "entry"
-        listen = {"datagramAddr": f"{node.ip}:{self.packet_port}", "ready": f"{node.ip}:{self.ready_port}",
+        listen = {NAMES["packets"]: f"{node.ip}:{self.packet_port}", "ready": f"{node.ip}:{self.ready_port}",
                   "control": f"{node.ip}:{self.control_port}"}
         if not front:
             listen["outbound"] = f"{node.ip}:{self.outbound_port}"
         return {"node": node.name, "role": node.role, "machineClass": "front" if front else "side",
                 "serves": self.deploy["roles"][node.role]["serves"], "ip": node.ip, "zone": node.zone, "region": "r",
-                "listen": listen, "internalPorts": [self.hop_port, self.hop_port + 15],
+                "listen": listen, NAMES["internal_ports"]: [self.hop_port, self.hop_port + 15],
                 "seeds": list(node.seeds), "heartbeatIntervalMs": int(self.heartbeat_s * 1000), "bounds": self.bounds,
                 "hash": "mod", "deploymentMode": "agent", "service": node.service,
                 "app": f"{node.ip}:{self.app_port}",
@@ -204,9 +206,9 @@
         self.version += 3
         self.store.put("config", "main", {
             "version": self.version, "services": [{"name": it} | self.service_fields for it in sorted({r[2] for r in routes})],
-            "limits": {"idleTimeoutMs": 12000},
-            "routes": [{"name": f"r-{host}", "host": host, "pathPrefix": f"/{port}/", "type": "safe",
-                        "timeoutMs": 3000, "targetLatencyMs": 200, "priority": 1, "service": service}
+            "limits": {NAMES["idle_timeout"]: 12000},
+            "routes": [{"name": f"r-{host}", "host": host, NAMES["port"]: f"/{port}/", "type": "safe",
+                        "timeoutMs": 3000, NAMES["target_latency"]: 200, "priority": 1, "service": service}
                        for host, port, service in routes]})
         self.record(f"config version {self.version} confirmed: {routes}")
 
@@ -261,7 +263,7 @@
     def body(self):
         return {"service": self.node.service, "address": f"{self.node.ip}:{self.world.app_port}",
                 "zone": self.node.zone, "version": "v1", "slots": self.slots, "state": self.state,
-                "warmupLeftMs": self.warm_up_left_ms(), "seq": self.sequence, "born": self.born}
+                NAMES["warm_up_left"]: self.warm_up_left_ms(), "seq": self.sequence, "born": self.born}
 
     def status_line(self):
         return "200 OK"
@@ -285,7 +287,7 @@
         text = json.dumps(body).encode()
         try:
             reader, writer = await asyncio.wait_for(asyncio.open_connection(self.node.ip, self.world.control_port), 1)
-            writer.write(f"POST /kumquatvalve/instances/{path} HTTP/1.1\r\nHost: x\r\nContent-Type: application/json"
+            writer.write(f"POST {NAMES['reports']}{path} HTTP/1.1\r\nHost: x\r\nContent-Type: application/json"
                          f"\r\nContent-Length: {len(text)}\r\n\r\n".encode() + text)
             line = await asyncio.wait_for(reader.readline(), 1)
             writer.close()
